--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,10 @@
+// Public header of the configuration library.
+
+#ifndef SRC_CONFIG_CONFIG_H_
+#define SRC_CONFIG_CONFIG_H_
+
+#include "src/config/configuration.h"
+#include "src/config/configuration_document.h"
+#include "src/config/process_settings.h"
+
+#endif  // SRC_CONFIG_CONFIG_H_
--- /dev/null
+++ b/src/routing/routing.h
@@ -0,0 +1,14 @@
+// Public header of the routing library: decisions on where and when a request
+// runs. Single-threaded, without sockets, and deterministic given its inputs.
+
+#ifndef SRC_ROUTING_ROUTING_H_
+#define SRC_ROUTING_ROUTING_H_
+
+#include "src/routing/admission_queue.h"
+#include "src/routing/crash_quarantine.h"
+#include "src/routing/endpoint_registry.h"
+#include "src/routing/failure_detector.h"
+#include "src/routing/retry_budget.h"
+#include "src/routing/seat_share.h"
+
+#endif  // SRC_ROUTING_ROUTING_H_
