--- a/src/ledger/execution_ledger.h
+++ b/src/ledger/execution_ledger.h
@@ -68,6 +68,14 @@
              const RequestId& request,
              BeginCallback callback);
 
+  // For repeatable requests: reads the record without reserving it. kOwned and
+  // kUnavailable come with a ticket of row version 0, with which Complete
+  // stores the first answer and its charge, if no other try has stored one
+  // before.
+  void Lookup(const ExecutionKey& key,
+              const std::string& request_hash,
+              BeginCallback callback);
+
   // Stores the answer and the charge in one transaction. Retries until the
   // table service confirms; the callback comes after the first result.
   void Complete(const ExecutionTicket& ticket,
--- a/src/ledger/job_ledger.h
+++ b/src/ledger/job_ledger.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -83,7 +84,7 @@
   void Finish(const JobId& job,
               JobState state,
               const StoredAnswer& answer,
-              const Charge& charge);
+              const std::optional<Charge>& charge);
 
   // Scans for work, renews leases. With `take_new` false it only renews.
   void Tick(TimePoint now, bool take_new);
--- a/src/routing/crash_quarantine.h
+++ b/src/routing/crash_quarantine.h
@@ -53,6 +53,7 @@
 
   void Expire(TimePoint now);
   std::optional<SuspectState> Find(Fingerprint fingerprint) const;
+  std::vector<SuspectState> All() const;
   std::size_t size() const { return suspects_.size(); }
 
  private:
