Add rollout monitor and cascade policy and join them to the core

Change: a library of decisions on ratings: Page's cumulative sum test for several rises stops a bad candidate; the first model of a cascade is the one with the least expected cost per delivered answer, learned per class and client account. Ruled out: one sequential test from the start of the rollout, whose good history hides a version that turns bad late.

--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -105,6 +105,10 @@
        "A stored section is not valid; the previous one stays in force."},
       {EventId::kConfigurationStale, kWarning, "configuration_stale",
        "An older revision of a section arrived and was ignored."},
+      {EventId::kCandidateStopped, kError, "candidate_stopped",
+       "The candidate of a rollout gives worse answers than the stable version "
+       "and gets no new work. Withdraw it, or raise the generation of the "
+       "rollout to try again."},
       {EventId::kPeerUp, kInfo, "peer_up",
        "A stream to another instance is open."},
       {EventId::kPeerDown, kWarning, "peer_down",
--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -63,6 +63,7 @@
   kConfigurationInForce = 1400,
   kConfigurationRejected = 1401,
   kConfigurationStale = 1402,
+  kCandidateStopped = 1403,
 
   // 1500: peers.
   kPeerUp = 1500,
--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -109,9 +109,8 @@
   // go to the candidate.
   double exposure = 0;
   RolloutState state = RolloutState::kPaused;
-  // The candidate is stopped when the share of its bad answers is higher than
-  // that of the stable version by this margin.
-  double max_excess_bad_share = 0.05;
+  // Raised by operators to try a stopped candidate again.
+  int generation = 1;
 };
 
 // The sections of the document, each with its own owner and revision.
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -64,7 +64,9 @@
       registry_(RegistryOptions(options_), ports_.log),
       detector_(options_.detector),
       retry_budget_(options_.retry_budget),
-      quarantine_(kSuspectRetention) {
+      quarantine_(kSuspectRetention),
+      rollouts_(options_.rollouts),
+      cascade_(options_.cascade) {
   configuration_ledger_.SetHandler(
       [this](const Configuration& changed) { OnConfiguration(changed); });
   jobs_.SetHandlers([this](const JobClaim& claim) { RunJob(claim); },
@@ -100,6 +102,7 @@
     executions_.Tick(now);
     charges_.Tick(now);
     jobs_.Tick(now, ready());
+    PollStops(now);
     quarantine_.Expire(now);
     if (shutting_down_) {
       charges_.Flush(now);
@@ -135,9 +138,6 @@
   object_calls_.OnReply(reply);
 }
 
-// Ratings are not requested yet.
-void Core::On(RatingReply&&) {}
-
 void Core::On(InstanceListRead&& list) {
   if (!list.ok) {
     ports_.log.Write(EventId::kInstanceListStale, list.detail);
@@ -208,6 +208,11 @@
 
 void Core::On(PeerUp&& peer) {
   charges_.OnPeerUp(peer.instance);
+  for (const StoppedCandidate& stop : rollouts_.Stops()) {
+    ports_.peers.Send(peer.instance,
+                      PeerCandidateStopped{stop.model, stop.version,
+                                           stop.generation, stop.reason});
+  }
   for (const SuspectState& suspect : quarantine_.All()) {
     ports_.peers.Send(peer.instance, PeerSuspect{suspect.fingerprint,
                                                  {suspect.endpoints.begin(),
@@ -241,11 +246,16 @@
     charges_.OnPeerMessage(from, *stored);
   } else if (auto* bound = std::get_if<PeerSessionBound>(&received.message)) {
     sessions_.OnPeerMessage(*bound);
+  } else if (auto* stop =
+                 std::get_if<PeerCandidateStopped>(&received.message)) {
+    rollouts_.AddStop(
+        {stop->model, stop->version, stop->generation, stop->reason});
   }
 }
 
 void Core::OnConfiguration(const Configuration& changed) {
   registry_.ApplyConfiguration(changed, ports_.clock.Now());
+  rollouts_.ApplyConfiguration(changed);
   ports_.metrics.SetRevisions(configuration_ledger_.Revisions());
   queue_changed_ = true;
 }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -15,6 +15,7 @@
 #include "src/core/request.h"
 #include "src/core/request_intake.h"
 #include "src/ledger/ledger.h"
+#include "src/policy/policy.h"
 #include "src/ports/ports.h"
 #include "src/routing/routing.h"
 
@@ -51,6 +52,10 @@
   std::chrono::milliseconds charge_batch_interval{1000};
   FailureDetectorOptions detector;
   RetryBudgetOptions retry_budget;
+  RolloutMonitorOptions rollouts;
+  CascadeOptions cascade;
+  // Share of delivered answers that are rated to watch rollouts and to learn.
+  double rating_share = 0.1;
   ChoicePolicy policy = ChoicePolicy::kCostAware;
 };
 
@@ -59,6 +64,7 @@
   EndpointPort& endpoints;
   TablePort& table;
   ObjectPort& objects;
+  RatingPort& ratings;
   PeerPort& peers;
   OperatorPort& operators;
   Clock& clock;
@@ -106,6 +112,8 @@
   void Accept(Request request);
   void Submit(const CallerRequest& call, JobSubmission submission);
   void Answer(const CallerRequest& call, const JobQuery& query);
+  // Chooses the first model of a cascade.
+  void ChooseModel(Request& request);
   void Prepare(Request& request);
   void PrepareExecution(Request& request);
   void OnExecutionBegun(const RequestId& id, const BeginResult& result);
@@ -143,6 +151,8 @@
                 int status,
                 const std::string& content_type,
                 bool streaming);
+  // The engine's answer is whole: judges it if its class asks for that.
+  void OnAnswerWhole(Request& request);
   void Complete(Request& request);
   void Deliver(const RequestId& id, const StoredAnswer& answer);
   void Fail(Request& request, CallerError error);
@@ -157,6 +167,15 @@
   void ReplyError(CallerId caller, const CallerError& error);
   void KeepAlive(Request& request, TimePoint now);
 
+  // Ratings and rollouts.
+  bool Rate(const Request& request, bool judging);
+  void OnJudged(Request& request, const RatingReply& reply);
+  bool Escalate(Request& request);
+  void CountAnswer(const Request& request, bool bad);
+  void ShareStops();
+  void PollStops(TimePoint now);
+  std::set<VersionId> StoppedVersions(const ModelId& model) const;
+
   // Operators.
   std::string InstanceJson() const;
   std::string EndpointsJson() const;
@@ -190,6 +209,8 @@
   RetryBudget retry_budget_;
   CrashQuarantine quarantine_;
   AdmissionQueue queue_;
+  RolloutMonitor rollouts_;
+  CascadePolicy cascade_;
 
   // Invariant: a request is in the map from acceptance until its caller has the
   // whole answer or an error, and its charge is safe.
@@ -210,6 +231,21 @@
   std::map<EndpointId, std::string> addresses_;
   // Requests found in the queue whose version or service is no longer allowed.
   std::vector<RequestId> disallowed_;
+  struct PendingRating {
+    // Empty for an answer that was delivered before its rating.
+    RequestId judged;
+    QualityClass quality_class;
+    AccountId account;
+    ModelId model;
+    VersionId version;
+  };
+  std::map<OperationId, PendingRating> ratings_;
+  std::uint64_t next_rating_ = 1;
+  // False after a failed rating until the next one succeeds.
+  bool rating_available_ = true;
+  // Stops that are in the table service.
+  std::set<StoppedCandidate> stored_stops_;
+  TimePoint next_stop_poll_;
   std::map<InstanceId, PeerHeartbeat> peers_;
   bool shutting_down_ = false;
   bool queue_changed_ = false;
--- a/src/core/core_attempts.cc
+++ b/src/core/core_attempts.cc
@@ -94,7 +94,8 @@
     return std::find(account->services.begin(), account->services.end(),
                      request.service) != account->services.end();
   }
-  return configuration().IsAllowed(*account, request.model, request.version);
+  return configuration().IsAllowed(*account, request.model, request.version) &&
+         StoppedVersions(request.model).count(request.version) == 0;
 }
 
 bool Core::TryStart(const QueuedRequest& queued) {
@@ -376,7 +377,7 @@
                    attempt.body.substr(0, kMaxQuotedBody), RunState::kRun,
                    std::chrono::seconds(0)});
   } else if (attempt.http_status == 200 && request.answer.done()) {
-    Complete(request);
+    OnAnswerWhole(request);
   } else {
     // A server error, or a stream that ended without its end mark.
     OnAttemptLost(request, attempt);
@@ -396,6 +397,7 @@
 }
 
 void Core::OnAttemptLost(Request& request, const RunningAttempt& attempt) {
+  CountAnswer(request, true);
   request.excluded.insert(attempt.endpoint);
   Retry(request);
 }
@@ -470,6 +472,7 @@
           convicted ? EventId::kRequestConvicted : EventId::kRequestSuspected,
           context, "endpoint crashed");
     }
+    CountAnswer(*request, crashed);
     request->excluded.insert(endpoint);
     Retry(*request);
   }
@@ -527,6 +530,10 @@
 }
 
 void Core::OnDeadline(Request& request, TimePoint now) {
+  if (request.stage == RequestStage::kJudging) {
+    Complete(request);
+    return;
+  }
   CallerError error{504, "deadline_exceeded",
                     "the answer was not complete in time", RunStateOf(request),
                     std::chrono::seconds(0)};
--- a/src/core/core_completion.cc
+++ b/src/core/core_completion.cc
@@ -41,6 +41,20 @@
                           streaming);
 }
 
+void Core::OnAnswerWhole(Request& request) {
+  bool judge = request.quality_class.quality_target > 0 &&
+               !request.wants_stream && !request.model_named_by_caller;
+  if (judge && Rate(request, true)) {
+    request.stage = RequestStage::kJudging;
+    return;
+  }
+  double sample = static_cast<double>(ports_.random.Next() >> 11) * 0x1p-53;
+  if (sample >= options_.rating_share || !Rate(request, false)) {
+    CountAnswer(request, false);
+  }
+  Complete(request);
+}
+
 void Core::Complete(Request& request) {
   request.stage = RequestStage::kCompleting;
   CheckInvariant(request.kind == RequestKind::kService || request.answer.done(),
--- a/src/core/core_intake.cc
+++ b/src/core/core_intake.cc
@@ -97,10 +97,49 @@
          {503, "billing_unavailable", "charges cannot be stored at present",
           RunState::kNotRun, kStoreRetryAfter});
   } else {
+    ChooseModel(accepted);
     Prepare(accepted);
   }
 }
 
+void Core::ChooseModel(Request& request) {
+  const QualityClass& quality_class = request.quality_class;
+  const ClientAccount* account = configuration().FindAccount(request.account);
+  if (request.model_named_by_caller || account == nullptr) {
+    return;
+  }
+  // Without ratings a cheap answer cannot be judged, and neither can one that
+  // the caller sees while it is written.
+  bool judged = rating_available_ && !request.wants_stream;
+  bool fallback_usable =
+      !quality_class.fallback_model.empty() &&
+      !SelectVersion(configuration(), *account, quality_class.fallback_model, 0,
+                     StoppedVersions(quality_class.fallback_model))
+           .empty();
+  if (quality_class.quality_target > 0 && !judged && fallback_usable) {
+    request.model = quality_class.fallback_model;
+    return;
+  }
+  std::vector<bool> usable;
+  for (const ModelId& model : quality_class.cascade) {
+    usable.push_back(!SelectVersion(configuration(), *account, model, 0,
+                                    StoppedVersions(model))
+                          .empty());
+  }
+  std::size_t start =
+      cascade_.Start(quality_class, request.account, configuration(), usable,
+                     UnitInterval(ports_.random.Next()));
+  if (start < quality_class.cascade.size()) {
+    request.model = quality_class.cascade[start];
+  }
+  if (judged && quality_class.quality_target > 0 &&
+      start + 1 < quality_class.cascade.size()) {
+    retry_budget_.Prepay(1.0 - cascade_.PassProbability(quality_class.name,
+                                                        request.account,
+                                                        request.model));
+  }
+}
+
 void Core::Submit(const CallerRequest& call, JobSubmission submission) {
   CallerId caller = call.caller;
   JobId job = submission.request.job;
@@ -271,7 +310,8 @@
   const std::string& session = request.session.value();
   double selector = UnitInterval(XXH64(session.data(), session.size(), 0));
   auto usable = [this, copy, model](const VersionId& version) {
-    return configuration().IsAllowed(copy, model, version);
+    return configuration().IsAllowed(copy, model, version) &&
+           StoppedVersions(model).count(version) == 0;
   };
   auto withdrawn = [usable](const VersionId& version) {
     return !usable(version);
@@ -282,10 +322,12 @@
     if (old != nullptr && usable(old->successor)) {
       return old->successor;
     }
-    return SelectVersion(configuration(), copy, model, selector, {version});
+    std::set<VersionId> excluded = StoppedVersions(model);
+    excluded.insert(version);
+    return SelectVersion(configuration(), copy, model, selector, excluded);
   };
-  VersionId proposed =
-      SelectVersion(configuration(), copy, model, selector, {});
+  VersionId proposed = SelectVersion(configuration(), copy, model, selector,
+                                     StoppedVersions(model));
   RequestId id = request.id;
   sessions_.Resolve(
       {request.account, request.session, model}, proposed, withdrawn,
@@ -321,7 +363,8 @@
   if (request.kind == RequestKind::kChat && request.version.empty() &&
       account != nullptr) {
     request.version = SelectVersion(configuration(), *account, request.model,
-                                    UnitInterval(ports_.random.Next()), {});
+                                    UnitInterval(ports_.random.Next()),
+                                    StoppedVersions(request.model));
   }
   if (request.kind == RequestKind::kChat && request.version.empty()) {
     Fail(request, {403, "version_not_allowed",
--- a/src/core/request.h
+++ b/src/core/request.h
@@ -26,6 +26,8 @@
   kRunning,
   // An attempt broke; a probe tells whether the endpoint crashed.
   kAwaitingProbe,
+  // The answer is complete; the rating service judges it before delivery.
+  kJudging,
   // The answer is complete; waits for the charge or the execution record.
   kCompleting,
 };
@@ -67,6 +69,10 @@
   // Empty until it is selected; then fixed for all attempts.
   VersionId version;
   bool version_named_by_caller = false;
+  // False: the model comes from the cascade of the class.
+  bool model_named_by_caller = true;
+  // Tokens of answers that were judged too bad to deliver.
+  int discarded_tokens = 0;
   ServiceId service;
   bool repeatable = true;
 
--- a/src/core/request_intake.cc
+++ b/src/core/request_intake.cc
@@ -125,6 +125,22 @@
   return std::nullopt;
 }
 
+bool MayUse(const ClientAccount& account, const ModelId& model) {
+  return std::any_of(
+      account.models.begin(), account.models.end(),
+      [&](const AllowedModel& allowed) { return allowed.model == model; });
+}
+
+// The first model of the cascade if the account may use none, so that the error
+// names a model.
+ModelId FirstAllowed(const std::vector<ModelId>& cascade,
+                     const ClientAccount& account) {
+  auto found = std::find_if(
+      cascade.begin(), cascade.end(),
+      [&](const ModelId& model) { return MayUse(account, model); });
+  return found == cascade.end() ? cascade.front() : *found;
+}
+
 std::optional<CallerError> ReadModel(const Configuration& configuration,
                                      const ClientAccount& account,
                                      Request* request) {
@@ -134,7 +150,8 @@
       return BadRequest("missing_model",
                         "the request names no model and its class has none");
     }
-    request->model = request->quality_class.cascade.front();
+    request->model = FirstAllowed(request->quality_class.cascade, account);
+    request->model_named_by_caller = false;
   } else {
     std::size_t colon = name.find(':');
     request->model = ModelId(name.substr(0, colon));
@@ -147,10 +164,7 @@
     return Refusal(404, "model_not_found",
                    fmt::format("no model '{}'", request->model.value()));
   }
-  bool any_allowed = std::any_of(
-      account.models.begin(), account.models.end(),
-      [&](const AllowedModel& m) { return m.model == request->model; });
-  if (!any_allowed) {
+  if (!MayUse(account, request->model)) {
     return Refusal(
         403, "model_not_allowed",
         fmt::format("client account '{}' may not use model '{}'",
--- a/src/ports/peer_port.h
+++ b/src/ports/peer_port.h
@@ -74,6 +74,14 @@
   VersionId version;
 };
 
+// The candidate of a rollout gets no new work.
+struct PeerCandidateStopped {
+  ModelId model;
+  VersionId version;
+  int generation = 0;
+  std::string reason;
+};
+
 using PeerMessage = std::variant<PeerHeartbeat,
                                  PeerConfigurationSection,
                                  PeerSuspect,
@@ -81,7 +89,8 @@
                                  PeerChargeReplica,
                                  PeerChargeKept,
                                  PeerChargeStored,
-                                 PeerSessionBound>;
+                                 PeerSessionBound,
+                                 PeerCandidateStopped>;
 
 struct PeerReceived {
   InstanceId from;
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -18,6 +18,9 @@
  public:
   explicit RetryBudget(RetryBudgetOptions options);
   void OnFirstAttempt();
+  // Adds the share of an escalation that a first attempt is expected to need,
+  // so that only unexpected ones draw on the budget of failures.
+  void Prepay(double share);
   // Takes one token; false if there is none.
   bool TryTake();
   double tokens() const { return tokens_; }
--- /dev/null
+++ b/tests/process/child_process.cc
@@ -0,0 +1,162 @@
+#include "tests/process/child_process.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstring>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+extern char** environ;
+
+namespace filbertshift {
+
+namespace {
+
+constexpr std::chrono::milliseconds kPollInterval{5};
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}  // namespace
+
+ChildProcess::ChildProcess(const std::string& name,
+                           const std::string& folder,
+                           const std::vector<std::string>& command)
+    : name_(name),
+      output_file_(folder + "/" + name + ".out"),
+      error_file_(folder + "/" + name + ".err") {
+  std::vector<char*> arguments;
+  for (const std::string& argument : command) {
+    arguments.push_back(const_cast<char*>(argument.c_str()));
+  }
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  // Appending keeps the log of an earlier process with the same name.
+  constexpr int kFlags = O_WRONLY | O_CREAT | O_APPEND;
+  unlink(output_file_.c_str());
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
+                                   output_file_.c_str(), kFlags, 0644);
+  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, error_file_.c_str(),
+                                   kFlags, 0644);
+  int error = posix_spawn(&pid_, arguments[0], &actions, nullptr,
+                          arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) {
+    throw std::runtime_error("cannot start " + command[0] + ": " +
+                             std::strerror(error));
+  }
+}
+
+ChildProcess::~ChildProcess() {
+  if (!exit_status_.has_value()) {
+    Kill();
+  }
+}
+
+void ChildProcess::Kill() {
+  if (exit_status_.has_value()) {
+    return;
+  }
+  kill(pid_, SIGKILL);
+  kill(pid_, SIGCONT);
+  WaitExit(std::chrono::seconds(10));
+}
+
+void ChildProcess::Terminate() {
+  if (!exit_status_.has_value()) {
+    kill(pid_, SIGTERM);
+  }
+}
+
+void ChildProcess::Freeze() {
+  kill(pid_, SIGSTOP);
+}
+
+void ChildProcess::Resume() {
+  kill(pid_, SIGCONT);
+}
+
+std::optional<int> ChildProcess::WaitExit(std::chrono::milliseconds timeout) {
+  auto end = std::chrono::steady_clock::now() + timeout;
+  while (!exit_status_.has_value()) {
+    int status = 0;
+    if (waitpid(pid_, &status, WNOHANG) == pid_) {
+      exit_status_ =
+          WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+      break;
+    }
+    if (std::chrono::steady_clock::now() >= end) {
+      return std::nullopt;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return exit_status_;
+}
+
+std::string ChildProcess::WaitListening(std::chrono::milliseconds timeout) {
+  constexpr char kMarker[] = "listening ";
+  auto end = std::chrono::steady_clock::now() + timeout;
+  while (std::chrono::steady_clock::now() < end) {
+    std::istringstream lines(Output());
+    std::string line;
+    while (std::getline(lines, line)) {
+      if (line.rfind(kMarker, 0) == 0 && !lines.eof()) {
+        return line.substr(sizeof(kMarker) - 1);
+      }
+    }
+    if (WaitExit(std::chrono::milliseconds(0)).has_value()) {
+      throw std::runtime_error(name_ + " ended early: " + ErrorOutput());
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  throw std::runtime_error(name_ + " does not listen: " + ErrorOutput());
+}
+
+std::string ChildProcess::Output() const {
+  return ReadFile(output_file_);
+}
+
+std::string ChildProcess::ErrorOutput() const {
+  return ReadFile(error_file_);
+}
+
+int FreePort() {
+  // The kernel may hand out a port again after it was closed here.
+  static std::set<int> given;
+  for (;;) {
+    int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    bool bound =
+        bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
+        getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) ==
+            0;
+    close(descriptor);
+    if (!bound) {
+      throw std::runtime_error("no free port");
+    }
+    int port = ntohs(address.sin_port);
+    if (given.insert(port).second) {
+      return port;
+    }
+  }
+}
+
+}  // namespace filbertshift
--- /dev/null
+++ b/tests/unit/policy/rollout_monitor_test.cc
@@ -0,0 +1,95 @@
+// Tests of the rollout monitor and its change detector.
+
+#include <catch2/catch.hpp>
+
+#include "src/common/common.h"
+#include "src/policy/policy.h"
+
+namespace filbertshift {
+namespace {
+
+const ModelId kModel("m");
+const VersionId kStable("v1");
+const VersionId kCandidate("v2");
+
+Configuration WithRollout(int generation) {
+  Configuration configuration;
+  Rollout rollout;
+  rollout.model = kModel;
+  rollout.stable = kStable;
+  rollout.candidate = kCandidate;
+  rollout.exposure = 0.1;
+  rollout.state = RolloutState::kRunning;
+  rollout.generation = generation;
+  configuration.rollouts.push_back(rollout);
+  return configuration;
+}
+
+bool Chance(Random& random, double probability) {
+  return static_cast<double>(random.Next() >> 11) / 9007199254740992.0 <
+         probability;
+}
+
+// Guards against a detector that stops good versions: the stated rate is at
+// most one false alarm in 100,000 answers.
+TEST_CASE("false alarms stay below the stated rate", "[policy]") {
+  constexpr int kRuns = 20;
+  constexpr int kAnswers = 20000;
+  // 400,000 answers allow 4 alarms on average; 9 is the 99% quantile.
+  constexpr int kMostAlarms = 9;
+  int alarms = 0;
+  for (int run = 0; run < kRuns; ++run) {
+    SystemRandom random(1000 + run);
+    RolloutMonitor monitor{RolloutMonitorOptions()};
+    monitor.ApplyConfiguration(WithRollout(1));
+    for (int i = 0; i < kAnswers && monitor.Stops().empty(); ++i) {
+      for (int j = 0; j < 9; ++j) {
+        monitor.OnAnswer(kModel, kStable, Chance(random, 0.05));
+      }
+      monitor.OnAnswer(kModel, kCandidate, Chance(random, 0.05));
+    }
+    alarms += monitor.Stops().empty() ? 0 : 1;
+  }
+  INFO("seeds 1000 to 1019, alarms " << alarms);
+  CHECK(alarms <= kMostAlarms);
+}
+
+// Guards against a detector whose good history hides a version that turns bad
+// late. A quarter of the answers that a fixed share of 10% gets in the same
+// 1,000 answers is 25.
+TEST_CASE("a version that turns bad is stopped early", "[policy]") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    INFO("seed " << seed);
+    SystemRandom random(seed);
+    RolloutMonitor monitor{RolloutMonitorOptions()};
+    monitor.ApplyConfiguration(WithRollout(1));
+    for (int i = 0; i < 2000; ++i) {
+      monitor.OnAnswer(kModel, kStable, Chance(random, 0.05));
+      monitor.OnAnswer(kModel, kCandidate, Chance(random, 0.05));
+    }
+    REQUIRE(monitor.Stopped(kModel).empty());
+    int answers = 0;
+    while (monitor.Stopped(kModel).empty() && answers < 1000) {
+      monitor.OnAnswer(kModel, kCandidate, Chance(random, 0.9));
+      ++answers;
+    }
+    CHECK(answers <= 25);
+  }
+}
+
+// Guards against a stop that an operator cannot lift, and against one that is
+// forgotten by an unrelated change.
+TEST_CASE("a stop holds for its generation only", "[policy]") {
+  RolloutMonitor monitor{RolloutMonitorOptions()};
+  monitor.ApplyConfiguration(WithRollout(1));
+  CHECK(monitor.AddStop({kModel, kCandidate, 1, "rated bad"}));
+  CHECK_FALSE(monitor.AddStop({kModel, kCandidate, 1, "rated bad"}));
+  CHECK(monitor.Stopped(kModel).count(kCandidate) == 1);
+  monitor.ApplyConfiguration(WithRollout(1));
+  CHECK(monitor.Stopped(kModel).count(kCandidate) == 1);
+  monitor.ApplyConfiguration(WithRollout(2));
+  CHECK(monitor.Stopped(kModel).empty());
+}
+
+}  // namespace
+}  // namespace filbertshift
