Add the process test harness and peer selection

Cause: process tests need one way to start a small site, and a full mesh of 340 instances would spend about 50 KB/s on heartbeats alone.

--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -154,13 +154,8 @@
     addresses_.erase(removed);
     ResolveBroken(removed, false);
   }
-  std::vector<PeerAddress> peers;
-  for (const EntryInstanceRecord& instance : list.instances) {
-    if (instance.instance != options_.instance) {
-      peers.push_back({instance.instance, instance.peer_address});
-    }
-  }
-  ports_.peers.SetPeers(std::move(peers));
+  ports_.peers.SetPeers(SelectPeers(PeerSelectionOptions(), options_.instance,
+                                    options_.data_centre, list.instances));
   queue_changed_ = true;
 }
 
@@ -234,9 +229,14 @@
                  std::get_if<PeerConfigurationSection>(&received.message)) {
     configuration_ledger_.OnPeerMessage(*section);
   } else if (auto* suspect = std::get_if<PeerSuspect>(&received.message)) {
-    quarantine_.Merge(suspect->fingerprint, suspect->endpoints, now);
+    // News are passed on once, since not every pair of instances has a stream.
+    if (quarantine_.Merge(suspect->fingerprint, suspect->endpoints, now)) {
+      ports_.peers.Broadcast(*suspect);
+    }
   } else if (auto* clear = std::get_if<PeerSuspectCleared>(&received.message)) {
-    quarantine_.Clear(clear->fingerprint);
+    if (quarantine_.Clear(clear->fingerprint)) {
+      ports_.peers.Broadcast(*clear);
+    }
   } else if (auto* replica =
                  std::get_if<PeerChargeReplica>(&received.message)) {
     charges_.OnPeerMessage(from, *replica);
@@ -248,8 +248,10 @@
     sessions_.OnPeerMessage(*bound);
   } else if (auto* stop =
                  std::get_if<PeerCandidateStopped>(&received.message)) {
-    rollouts_.AddStop(
-        {stop->model, stop->version, stop->generation, stop->reason});
+    if (rollouts_.AddStop(
+            {stop->model, stop->version, stop->generation, stop->reason})) {
+      ports_.peers.Broadcast(*stop);
+    }
   }
 }
 
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -8,6 +8,7 @@
 #include "src/routing/crash_quarantine.h"
 #include "src/routing/endpoint_registry.h"
 #include "src/routing/failure_detector.h"
+#include "src/routing/peer_selection.h"
 #include "src/routing/retry_budget.h"
 #include "src/routing/seat_share.h"
 
--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -108,15 +108,16 @@
   return exit_status_;
 }
 
-std::string ChildProcess::WaitListening(std::chrono::milliseconds timeout) {
-  constexpr char kMarker[] = "listening ";
+std::string ChildProcess::WaitAddress(const std::string& label,
+                                      std::chrono::milliseconds timeout) {
+  const std::string marker = label + " ";
   auto end = std::chrono::steady_clock::now() + timeout;
   while (std::chrono::steady_clock::now() < end) {
     std::istringstream lines(Output());
     std::string line;
     while (std::getline(lines, line)) {
-      if (line.rfind(kMarker, 0) == 0 && !lines.eof()) {
-        return line.substr(sizeof(kMarker) - 1);
+      if (line.rfind(marker, 0) == 0 && !lines.eof()) {
+        return line.substr(marker.size());
       }
     }
     if (WaitExit(std::chrono::milliseconds(0)).has_value()) {
@@ -124,7 +125,8 @@
     }
     std::this_thread::sleep_for(kPollInterval);
   }
-  throw std::runtime_error(name_ + " does not listen: " + ErrorOutput());
+  throw std::runtime_error(name_ +
+                           " does not print its address: " + ErrorOutput());
 }
 
 std::string ChildProcess::Output() const {
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -35,9 +35,10 @@
   // process that was ended by a signal has 128 plus its number.
   std::optional<int> WaitExit(std::chrono::milliseconds timeout);
 
-  // Waits for "listening IP:PORT" on standard output and returns the address.
-  // Throws std::runtime_error after `timeout`.
-  std::string WaitListening(std::chrono::milliseconds timeout);
+  // Waits for a line "<label> IP:PORT" on standard output and returns the
+  // address. Throws std::runtime_error after `timeout`.
+  std::string WaitAddress(const std::string& label,
+                          std::chrono::milliseconds timeout);
 
   pid_t pid() const { return pid_; }
   std::string Output() const;
--- /dev/null
+++ b/tests/process/main.cc
@@ -0,0 +1,3 @@
+// Entry point of the process tests.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
