Implement the configuration library

Cause: the headers of src/config had no implementation.

Change: settings and document are declared in field tables, from which parsing, range checks and docs/configuration.md come. A tree with places is built from the SAX events of nlohmann-json, whose own value type has no places and drops duplicate keys. All faults are collected. Sections can be validated in context, split from one document with their comments, compared by value, and edited in place. Adds the example document and settings.

--- /dev/null
+++ b/src/config/field_description.h
@@ -0,0 +1,24 @@
+// Documentation of one setting or one field of the configuration document,
+// taken from its declaration.
+
+#ifndef SRC_CONFIG_FIELD_DESCRIPTION_H_
+#define SRC_CONFIG_FIELD_DESCRIPTION_H_
+
+#include <string>
+
+namespace filbertshift {
+
+struct FieldDescription {
+  // Path within the section or file, as in "versions[].limits.warm_up".
+  std::string name;
+  std::string type;
+  std::string unit;
+  // As it would stand in the text, or "required".
+  std::string default_value;
+  std::string range;
+  std::string meaning;
+};
+
+}  // namespace filbertshift
+
+#endif  // SRC_CONFIG_FIELD_DESCRIPTION_H_
--- /dev/null
+++ b/src/config/field_types.h
@@ -0,0 +1,400 @@
+// Declarations of fields by type, for use in field tables.
+
+#ifndef SRC_CONFIG_FIELD_TYPES_H_
+#define SRC_CONFIG_FIELD_TYPES_H_
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+#include "src/config/duration.h"
+#include "src/config/field_table.h"
+
+namespace filbertshift {
+
+enum class Need { kOptional, kRequired };
+
+template <class N>
+struct ValueRange {
+  N least;
+  N most;
+};
+
+namespace field_internal {
+
+// A message for an integer out of range or of the wrong type, or nothing.
+template <class N>
+std::optional<std::string> ReadInteger(const JsonNode& node,
+                                       ValueRange<N> range,
+                                       N* out) {
+  bool fits = false;
+  if (const auto* positive = std::get_if<std::uint64_t>(&node.scalar)) {
+    fits = *positive <= static_cast<std::uint64_t>(range.most) &&
+           (range.least <= 0 ||
+            *positive >= static_cast<std::uint64_t>(range.least));
+    *out = fits ? static_cast<N>(*positive) : *out;
+  } else if (const auto* negative = std::get_if<std::int64_t>(&node.scalar)) {
+    fits = std::is_signed_v<N> &&
+           *negative >= static_cast<std::int64_t>(range.least);
+    *out = fits ? static_cast<N>(*negative) : *out;
+  } else {
+    return fmt::format("expected an integer, found {}", node.TypeName());
+  }
+  return fits ? std::nullopt
+              : std::optional<std::string>(fmt::format(
+                    "out of range {} to {}", range.least, range.most));
+}
+
+inline std::string Quote(std::string_view text) {
+  return fmt::format("\"{}\"", text);
+}
+
+}  // namespace field_internal
+
+// Only types with at most 64 bits; the range must fit the type.
+template <class T, class N>
+Field<T> IntegerField(std::string name,
+                      N T::*member,
+                      Need need,
+                      ValueRange<N> range,
+                      std::string unit,
+                      std::string meaning) {
+  Field<T> field;
+  field.description = {std::move(name),
+                       "integer",
+                       std::move(unit),
+                       "",
+                       fmt::format("{} to {}", range.least, range.most),
+                       std::move(meaning)};
+  field.required = need == Need::kRequired;
+  field.read = [member, range](const JsonNode& node, const std::string& path,
+                               FieldReader& reader, T* out) {
+    if (auto message =
+            field_internal::ReadInteger(node, range, &(out->*member))) {
+      reader.Report(node, path, *message);
+    }
+  };
+  field.format = [member](const T& value) {
+    return fmt::format("{}", value.*member);
+  };
+  return field;
+}
+
+template <class T>
+Field<T> NumberField(std::string name,
+                     double T::*member,
+                     Need need,
+                     ValueRange<double> range,
+                     std::string unit,
+                     std::string meaning) {
+  Field<T> field;
+  field.description = {std::move(name),
+                       "number",
+                       std::move(unit),
+                       "",
+                       fmt::format("{} to {}", range.least, range.most),
+                       std::move(meaning)};
+  field.required = need == Need::kRequired;
+  field.read = [member, range](const JsonNode& node, const std::string& path,
+                               FieldReader& reader, T* out) {
+    double value = 0;
+    if (const auto* integer = std::get_if<std::uint64_t>(&node.scalar)) {
+      value = static_cast<double>(*integer);
+    } else if (const auto* negative = std::get_if<std::int64_t>(&node.scalar)) {
+      value = static_cast<double>(*negative);
+    } else if (const auto* number = std::get_if<double>(&node.scalar)) {
+      value = *number;
+    } else {
+      reader.ReportType(node, path, "a number");
+      return;
+    }
+    if (!(value >= range.least && value <= range.most)) {
+      reader.Report(
+          node, path,
+          fmt::format("out of range {} to {}", range.least, range.most));
+      return;
+    }
+    out->*member = value;
+  };
+  field.format = [member](const T& value) {
+    return fmt::format("{}", value.*member);
+  };
+  return field;
+}
+
+template <class T>
+Field<T> DurationField(std::string name,
+                       std::chrono::milliseconds T::*member,
+                       Need need,
+                       ValueRange<std::chrono::milliseconds> range,
+                       std::string meaning) {
+  std::string range_text = fmt::format("{} to {}", FormatDuration(range.least),
+                                       FormatDuration(range.most));
+  Field<T> field;
+  field.description = {std::move(name), "duration",        "ms, s, m or h", "",
+                       range_text,      std::move(meaning)};
+  field.required = need == Need::kRequired;
+  field.read = [member, range, range_text](const JsonNode& node,
+                                           const std::string& path,
+                                           FieldReader& reader, T* out) {
+    const std::string* text = node.AsString();
+    if (text == nullptr) {
+      reader.ReportType(node, path, "a duration with a unit, as in \"250ms\"");
+      return;
+    }
+    std::optional<std::chrono::milliseconds> duration = ParseDuration(*text);
+    if (!duration) {
+      reader.Report(node, path,
+                    "not a duration: write a whole number with the unit ms, "
+                    "s, m or h, as in \"250ms\"");
+    } else if (*duration < range.least || *duration > range.most) {
+      reader.Report(node, path, "out of range " + range_text);
+    } else {
+      out->*member = *duration;
+    }
+  };
+  field.format = [member](const T& value) {
+    return field_internal::Quote(FormatDuration(value.*member));
+  };
+  return field;
+}
+
+template <class T>
+Field<T> BooleanField(std::string name,
+                      bool T::*member,
+                      Need need,
+                      std::string meaning) {
+  Field<T> field;
+  field.description = {std::move(name), "boolean",         "", "",
+                       "true or false", std::move(meaning)};
+  field.required = need == Need::kRequired;
+  field.read = [member](const JsonNode& node, const std::string& path,
+                        FieldReader& reader, T* out) {
+    if (const bool* value = std::get_if<bool>(&node.scalar)) {
+      out->*member = *value;
+    } else {
+      reader.ReportType(node, path, "true or false");
+    }
+  };
+  field.format = [member](const T& value) {
+    return std::string(value.*member ? "true" : "false");
+  };
+  return field;
+}
+
+// The rule of a text value: what it must look like, for messages and
+// documentation, and the check.
+struct TextRule {
+  std::string_view description;
+  bool (*accepts)(std::string_view text);
+};
+
+namespace field_internal {
+
+// Strings and ids have the same form in the text.
+inline const std::string& ToText(const std::string& text) {
+  return text;
+}
+template <class Tag>
+const std::string& ToText(const Id<Tag>& id) {
+  return id.value();
+}
+
+// Returns nullptr after reporting a value that is not accepted.
+inline const std::string* ReadText(const JsonNode& node,
+                                   const std::string& path,
+                                   const TextRule& rule,
+                                   FieldReader& reader) {
+  const std::string* text = node.AsString();
+  if (text == nullptr) {
+    reader.ReportType(node, path, "a string");
+  } else if (!rule.accepts(*text)) {
+    reader.Report(node, path, fmt::format("must be {}", rule.description));
+    text = nullptr;
+  }
+  return text;
+}
+
+}  // namespace field_internal
+
+// V is std::string or an Id.
+template <class T, class V>
+Field<T> TextField(std::string name,
+                   V T::*member,
+                   Need need,
+                   TextRule rule,
+                   std::string meaning) {
+  Field<T> field;
+  field.description = {
+      std::move(name),   "string", "", "", std::string(rule.description),
+      std::move(meaning)};
+  field.required = need == Need::kRequired;
+  field.read = [member, rule](const JsonNode& node, const std::string& path,
+                              FieldReader& reader, T* out) {
+    if (const auto* text = field_internal::ReadText(node, path, rule, reader)) {
+      out->*member = V(*text);
+    }
+  };
+  field.format = [member](const T& value) {
+    return field_internal::Quote(field_internal::ToText(value.*member));
+  };
+  return field;
+}
+
+template <class T, class V>
+Field<T> TextListField(std::string name,
+                       std::vector<V> T::*member,
+                       Need need,
+                       TextRule rule,
+                       std::string meaning) {
+  Field<T> field;
+  field.description = {std::move(name),
+                       "array of strings",
+                       "",
+                       "",
+                       fmt::format("each {}", rule.description),
+                       std::move(meaning)};
+  field.required = need == Need::kRequired;
+  field.read = [member, rule](const JsonNode& node, const std::string& path,
+                              FieldReader& reader, T* out) {
+    if (node.kind != JsonNode::Kind::kArray) {
+      reader.ReportType(node, path, "an array of strings");
+      return;
+    }
+    for (std::size_t i = 0; i < node.children.size(); ++i) {
+      const auto* text = field_internal::ReadText(
+          node.children[i], JoinPointer(path, i), rule, reader);
+      (out->*member).push_back(text == nullptr ? V() : V(*text));
+    }
+  };
+  field.format = [](const T&) { return std::string("[]"); };
+  return field;
+}
+
+template <class T>
+Field<T> IntegerListField(std::string name,
+                          std::vector<int> T::*member,
+                          Need need,
+                          ValueRange<int> range,
+                          std::string meaning) {
+  Field<T> field;
+  field.description = {std::move(name),
+                       "array of integers",
+                       "",
+                       "",
+                       fmt::format("each {} to {}", range.least, range.most),
+                       std::move(meaning)};
+  field.required = need == Need::kRequired;
+  field.read = [member, range](const JsonNode& node, const std::string& path,
+                               FieldReader& reader, T* out) {
+    if (node.kind != JsonNode::Kind::kArray) {
+      reader.ReportType(node, path, "an array of integers");
+      return;
+    }
+    for (std::size_t i = 0; i < node.children.size(); ++i) {
+      int value = range.least;
+      if (auto message =
+              field_internal::ReadInteger(node.children[i], range, &value)) {
+        reader.Report(node.children[i], JoinPointer(path, i), *message);
+      } else {
+        (out->*member).push_back(value);
+      }
+    }
+  };
+  field.format = [](const T&) { return std::string("[]"); };
+  return field;
+}
+
+// A value out of a fixed set of names.
+template <class E>
+struct NamedValue {
+  std::string_view name;
+  E value;
+};
+
+template <class T, class E>
+Field<T> NamedValueField(std::string name,
+                         E T::*member,
+                         Need need,
+                         std::vector<NamedValue<E>> values,
+                         std::string meaning) {
+  std::string names;
+  for (const NamedValue<E>& value : values) {
+    names += fmt::format("{}\"{}\"", names.empty() ? "" : ", ", value.name);
+  }
+  Field<T> field;
+  field.description = {std::move(name),   "string",          "", "",
+                       "one of " + names, std::move(meaning)};
+  field.required = need == Need::kRequired;
+  field.read = [member, values, names](const JsonNode& node,
+                                       const std::string& path,
+                                       FieldReader& reader, T* out) {
+    const std::string* text = node.AsString();
+    for (const NamedValue<E>& value : values) {
+      if (text != nullptr && *text == value.name) {
+        out->*member = value.value;
+        return;
+      }
+    }
+    reader.Report(node, path, "must be one of " + names);
+  };
+  field.format = [member, values](const T& owner) {
+    for (const NamedValue<E>& value : values) {
+      if (value.value == owner.*member) {
+        return field_internal::Quote(value.name);
+      }
+    }
+    return std::string();
+  };
+  return field;
+}
+
+// `table` must have static storage duration.
+template <class T, class U>
+Field<T> ObjectField(std::string name,
+                     U T::*member,
+                     Need need,
+                     const FieldTable<U>& table,
+                     std::string meaning) {
+  Field<T> field;
+  field.description = {std::move(name),   "object", "", "", "",
+                       std::move(meaning)};
+  field.required = need == Need::kRequired;
+  field.read = [member, &table](const JsonNode& node, const std::string& path,
+                                FieldReader& reader, T* out) {
+    ReadObject(node, path, table, reader, &(out->*member));
+  };
+  field.format = [](const T&) { return std::string("{}"); };
+  field.describe_nested = [&table] { return DescribeFields(table); };
+  return field;
+}
+
+// `table` must have static storage duration.
+template <class T, class U>
+Field<T> ObjectListField(std::string name,
+                         std::vector<U> T::*member,
+                         Need need,
+                         const FieldTable<U>& table,
+                         std::string meaning) {
+  Field<T> field;
+  field.description = {std::move(name),   "array of objects", "", "", "",
+                       std::move(meaning)};
+  field.required = need == Need::kRequired;
+  field.read = [member, &table](const JsonNode& node, const std::string& path,
+                                FieldReader& reader, T* out) {
+    ReadObjectList(node, path, table, reader, &(out->*member));
+  };
+  field.format = [](const T&) { return std::string("[]"); };
+  field.describe_nested = [&table] { return DescribeFields(table); };
+  return field;
+}
+
+}  // namespace filbertshift
+
+#endif  // SRC_CONFIG_FIELD_TYPES_H_
--- a/src/config/process_settings.h
+++ b/src/config/process_settings.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "src/common/common.h"
+#include "src/config/field_description.h"
 
 namespace filbertshift {
 
@@ -34,10 +35,10 @@
   std::string rating_address;
 
   std::size_t max_connections = 2000;
-  std::size_t max_header_bytes = 32 * 1024;
-  std::size_t max_body_bytes = 4 * 1024 * 1024;
-  std::size_t max_response_bytes = 16 * 1024 * 1024;
-  std::size_t max_buffered_bytes = 1024 * 1024;
+  std::size_t max_header_bytes = std::size_t{32} * 1024;
+  std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
+  std::size_t max_response_bytes = std::size_t{16} * 1024 * 1024;
+  std::size_t max_buffered_bytes = std::size_t{1024} * 1024;
   std::chrono::milliseconds slow_sender_timeout{10000};
   std::chrono::milliseconds connect_timeout{1000};
   std::chrono::milliseconds table_timeout{1500};
@@ -53,17 +54,7 @@
   std::size_t kept_events = 20000;
 };
 
-// Documentation of one setting, taken from its declaration.
-struct SettingDescription {
-  std::string name;
-  std::string type;
-  std::string unit;
-  std::string default_value;
-  std::string range;
-  std::string meaning;
-};
-
-std::vector<SettingDescription> DescribeProcessSettings();
+std::vector<FieldDescription> DescribeProcessSettings();
 
 // Parses JSON with comments, then applies `overrides` of the form
 // "name=value". Throws FindingsError with every fault: unknown keys, wrong
