--- a/src/routing/admission_queue.h
+++ b/src/routing/admission_queue.h
@@ -1,12 +1,17 @@
 // Requests that wait for an endpoint: classes by priority, client accounts by
-// weighted fair queueing within a class.
+// weighted fair queueing within a priority.
 
 #ifndef SRC_ROUTING_ADMISSION_QUEUE_H_
 #define SRC_ROUTING_ADMISSION_QUEUE_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "src/common/common.h"
@@ -23,38 +28,99 @@
   TimePoint deadline;
   // Expected work, for example prompt plus expected answer in tokens.
   double cost = 1;
+  // Requests with the same target can start on the same endpoints, for example
+  // model and version. When one cannot start, the others are not offered in the
+  // same Drain. Empty for a request with conditions of its own (a suspect, or
+  // one with excluded endpoints).
+  std::string target;
 };
 
+// Cost: Push and Remove O(log n) in the waiting requests. Drain O(log f) for
+// each started request plus one offer for each of the f flows, where a flow is
+// a pair of account and target; requests without a target are offered one by
+// one.
 class AdmissionQueue {
  public:
   // Returns false if the class already has `class_limit` waiting requests.
+  // Throws std::invalid_argument if the request is already waiting.
   bool Push(const QueuedRequest& request, int class_limit);
 
   // Offers waiting requests in order of priority, then virtual finish time.
   // `try_start` returns true if the request was started; it then leaves the
-  // queue. A request that cannot start does not hold back the others.
+  // queue. A request that cannot start does not hold back the requests of other
+  // targets. `try_start` must not call the queue.
   void Drain(const std::function<bool(const QueuedRequest&)>& try_start);
 
-  // Removes and returns the requests whose deadline has passed.
+  // Removes and returns the requests whose deadline has passed, earliest
+  // deadline first.
   std::vector<QueuedRequest> Expire(TimePoint now);
   bool Remove(const RequestId& request);
-  std::size_t size() const;
+  std::size_t size() const { return requests_.size(); }
   std::size_t SizeOfClass(const std::string& quality_class) const;
 
  private:
-  struct Entry {
-    QueuedRequest request;
+  // Number of the arrival; identifies a request in the queue.
+  using Arrival = std::uint64_t;
+  using TryStart = std::function<bool(const QueuedRequest&)>;
+
+  // The waiting requests of one account for one target, first come, first
+  // served.
+  struct FlowKey {
+    std::string target;
+    AccountId account;
+    friend bool operator<(const FlowKey& a, const FlowKey& b) {
+      return std::tie(a.target, a.account) < std::tie(b.target, b.account);
+    }
+  };
+  struct Flow {
+    // Virtual time at which the first request became the first one.
+    double virtual_start = 0;
+    // Invariant: not empty.
+    std::set<Arrival> waiting;
+  };
+
+  // Self-clocked fair queueing of one priority: the virtual time is the finish
+  // time of the request that was started last. Finish times are charged when a
+  // request starts, so that an account does not pay for expired requests.
+  struct Level {
+    double virtual_time = 0;
+    std::map<AccountId, double> last_finish;
+    std::map<FlowKey, Flow> flows;
+  };
+
+  // A request that may be offered next.
+  struct Offer {
     double virtual_finish = 0;
-    std::uint64_t arrival = 0;
+    Arrival arrival = 0;
+    FlowKey flow;
+    friend bool operator<(const Offer& a, const Offer& b) {
+      return std::tie(a.virtual_finish, a.arrival) <
+             std::tie(b.virtual_finish, b.arrival);
+    }
   };
+  using Offers = std::set<Offer>;
+
+  Offer MakeOffer(const Level& level,
+                  const FlowKey& key,
+                  Arrival arrival) const;
+  void DrainLevel(int priority,
+                  const TryStart& try_start,
+                  std::set<std::string>* blocked_targets);
+  void AddNextOffer(const Level& level,
+                    const Offer& previous,
+                    Offers* offers) const;
+  void Charge(Level* level, const Offer& started) const;
+  QueuedRequest Erase(Arrival arrival);
+  void EraseFromFlow(const QueuedRequest& request, Arrival arrival);
 
-  // Invariant: for each priority, entries are ordered by virtual finish time,
-  // then by arrival.
-  std::map<int, std::vector<Entry>> entries_by_priority_;
+  // Invariant: all containers below hold the same requests.
+  std::unordered_map<Arrival, QueuedRequest> requests_;
+  std::unordered_map<RequestId, Arrival> arrival_by_request_;
+  std::set<std::pair<TimePoint, Arrival>> arrivals_by_deadline_;
+  // Invariant: every level has a waiting request. Lower numbers go first.
+  std::map<int, Level> levels_;
   std::map<std::string, std::size_t> size_by_class_;
-  std::map<std::pair<int, AccountId>, double> last_finish_;
-  std::map<int, double> virtual_time_;
-  std::uint64_t next_arrival_ = 0;
+  Arrival next_arrival_ = 0;
 };
 
 }  // namespace filbertshift
--- a/src/routing/seat_share.h
+++ b/src/routing/seat_share.h
@@ -23,6 +23,12 @@
 int LimitAtUptime(const EndpointLimits& limits,
                   std::chrono::milliseconds uptime);
 
+// The part of `limit` for the seat at `rank` (0 is the best) of `seat_count`
+// seats; 0 for a rank outside of them. Never decreases when `limit` grows, so
+// that instances that assume a lower limit than others cannot make the sum too
+// high.
+int ShareOfRank(int limit, int seat_count, int rank);
+
 // The part of `limit` that `seat` may use; 0 for a seat that is not in
 // `ranked_seats`. The parts of all ranked seats add up to `limit`.
 int SeatShare(int limit, const std::vector<int>& ranked_seats, int seat);
