--- a/src/config/document_fields.cc
+++ b/src/config/document_fields.cc
@@ -212,11 +212,10 @@
                           {"stopped", RolloutState::kStopped}},
                       "A paused rollout keeps its exposure; a stopped one "
                       "sends nothing new to the candidate."),
-      NumberField("max_excess_bad_share", &R::max_excess_bad_share, kOptional,
-                  {0, 1}, "share",
-                  "The candidate is stopped when its share of bad answers "
-                  "is higher than that of the stable version by more than "
-                  "this."),
+      IntegerField("generation", &R::generation, kOptional,
+                   ValueRange<int>{1, 1'000'000}, "",
+                   "Raised to try a candidate again after it was stopped for "
+                   "bad answers."),
   };
   return kFields;
 }
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -12,6 +12,7 @@
 constexpr std::chrono::milliseconds kHeartbeatInterval{1000};
 // Ledgers and quarantine need no finer time.
 constexpr std::chrono::milliseconds kSlowTickInterval{100};
+constexpr std::chrono::milliseconds kMetricsInterval{1000};
 constexpr std::chrono::milliseconds kProbeTimeout{500};
 constexpr std::chrono::hours kSuspectRetention{1};
 
@@ -107,14 +108,26 @@
     if (shutting_down_) {
       charges_.Flush(now);
     }
-    ports_.metrics.SetRequests(requests_.size(), queue_.size());
-    ports_.metrics.SetCharges(charges_.unstored());
+  }
+  if (now >= next_metrics_) {
+    next_metrics_ = now + kMetricsInterval;
+    UpdateGauges(now);
   }
   table_calls_.RunDeferred();
   object_calls_.RunDeferred();
   DrainQueue();
 }
 
+void Core::UpdateGauges(TimePoint now) {
+  ports_.metrics.SetRequests(requests_.size());
+  ports_.metrics.SetCharges(charges_.unstored());
+  for (const QualityClass& quality_class : configuration().classes) {
+    ports_.metrics.SetQueueLength(quality_class.name,
+                                  queue_.SizeOfClass(quality_class.name));
+  }
+  ports_.metrics.SetEndpoints(registry_.Views(now));
+}
+
 bool Core::ready() const {
   return configuration_ledger_.verified() && !shutting_down_;
 }
@@ -185,8 +198,9 @@
   if (broken == awaiting_probe_.end()) {
     return;
   }
-  bool crashed = !probe.reachable ||
-                 probe.incarnation != broken->second.front().incarnation;
+  Incarnation before = broken->second.front().incarnation;
+  bool changed = before != Incarnation() && probe.incarnation != before;
+  bool crashed = !probe.reachable || restarted || changed;
   int& skip = probes_to_skip_[probe.endpoint];
   // An answer that was on its way when the attempts broke says nothing about
   // the time after.
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -32,9 +32,13 @@
   virtual void OnAttemptEnd(AttemptOutcome outcome) = 0;
   virtual void OnFirstToken(const std::string& quality_class,
                             std::chrono::microseconds delay) = 0;
-  virtual void OnTokenGap(std::chrono::microseconds gap) = 0;
+  virtual void OnTokenGap(const std::string& quality_class,
+                          std::chrono::microseconds gap) = 0;
   virtual void OnInvariantViolated(const std::string& invariant) = 0;
-  virtual void SetRequests(std::size_t in_progress, std::size_t queued) = 0;
+  virtual void SetRequests(std::size_t in_progress) = 0;
+  virtual void SetQueueLength(const std::string& quality_class,
+                              std::size_t queued) = 0;
+  virtual void SetEndpoints(const std::vector<EndpointView>& endpoints) = 0;
   virtual void SetCharges(std::size_t unstored) = 0;
   virtual void SetRevisions(const std::vector<std::uint64_t>& revisions) = 0;
 };
@@ -184,6 +188,7 @@
   void Apply(OperatorCallId call, const ApplySection& command);
 
   void OnConfiguration(const Configuration& configuration);
+  void UpdateGauges(TimePoint now);
   void SendHeartbeat();
   void ShareSuspects(const std::vector<SuspectState>& suspects);
   // Counts and logs a broken invariant; `holds` is the checked condition.
@@ -251,6 +256,7 @@
   bool queue_changed_ = false;
   TimePoint next_heartbeat_;
   TimePoint next_slow_tick_;
+  TimePoint next_metrics_;
 };
 
 }  // namespace filbertshift
--- a/src/core/core_attempts.cc
+++ b/src/core/core_attempts.cc
@@ -111,7 +111,9 @@
   CrashVerdict verdict = quarantine_.Check(request->fingerprint, now);
   EndpointQuery query = MakeQuery(*request, verdict);
   std::optional<EndpointChoice> choice = registry_.Choose(query, now);
-  if (!choice.has_value()) {
+  // Without a verified incarnation no connection may carry the request yet; a
+  // probe is due.
+  if (!choice.has_value() || choice->incarnation == Incarnation()) {
     return false;
   }
   CheckInvariant(request->repeatable ||
@@ -126,12 +128,16 @@
   attempt.incarnation = choice->incarnation;
   attempt.started = now;
   attempt.last_progress = now;
+  registry_.Reserve(choice->endpoint, attempt.id, request->fingerprint, query,
+                    now);
   if (!ports_.endpoints.Start(std::move(spec))) {
+    registry_.Release(attempt.id);
     --request->attempts;
     return false;
   }
-  registry_.Reserve(choice->endpoint, attempt.id, request->fingerprint, query,
-                    now);
+  if (query.suspect) {
+    quarantine_.OnIsolatedRun(request->fingerprint, choice->endpoint);
+  }
   request_by_attempt_[attempt.id] = request->id;
   EventContext context{request->id, attempt.id, attempt.endpoint};
   bool continued = !request->answer.text().empty();
@@ -282,9 +288,10 @@
   auto silence = Micros(now - attempt.last_progress);
   if (attempt.first_token) {
     detector_.Observe(attempt.endpoint, DelayKind::kTokenGap, silence);
-    ports_.metrics.OnTokenGap(silence);
+    ports_.metrics.OnTokenGap(request.quality_class.name, silence);
   } else {
     attempt.first_token = true;
+    registry_.OnFirstToken(attempt.id);
     detector_.Observe(attempt.endpoint, DelayKind::kFirstToken, silence);
     if (request.attempts == 1) {
       ports_.metrics.OnFirstToken(request.quality_class.name,
@@ -450,10 +457,7 @@
     for (const BrokenAttempt& attempt : broken) {
       in_flight.push_back(attempt.fingerprint);
     }
-    // One crash is one life of the endpoint; a second life can crash again.
-    EndpointId life(fmt::format("{}@{}", endpoint.value(),
-                                broken.front().incarnation.start_time.count()));
-    ShareSuspects(quarantine_.OnCrash(life, in_flight, ports_.clock.Now()));
+    ShareSuspects(quarantine_.OnCrash(endpoint, in_flight, ports_.clock.Now()));
     registry_.Suspect(endpoint, "crashed");
   }
   for (const BrokenAttempt& attempt : broken) {
