Add the emulated table service and instance list

Cause: the daemon and the process tests need the platform services, and no third-party server may be used. Change: emulator/http has a stop-and-restart HTTP server over libmicrohttpd, a task scheduler and the shared faults; emulator/table and emulator/instances build on it. One executable, filbertshift-emulator, with a sub-command each. Measured: built with warnings as errors; transactions, repetition by token, queries, refused connections and a dropped reply tried by hand with curl.

--- /dev/null
+++ b/emulator/http/faulty_service.cc
@@ -0,0 +1,71 @@
+#include "emulator/http/faulty_service.h"
+
+#include <utility>
+
+namespace filbertshift::emulator {
+
+HttpResponse FaultyService::UnavailableResponse() const {
+  return ErrorResponse(503, "unavailable");
+}
+
+HttpResponse FaultyService::ThrottledResponse() const {
+  return ErrorResponse(503, "throttled");
+}
+
+void FaultyService::ReadControl(ControlReader*) {}
+
+HttpResponse FaultyService::HandleControl(const HttpRequest& request) {
+  if (request.path != "/_control") {
+    return Inspect(request);
+  }
+  const Availability before = gate_.settings().availability;
+  ControlReader control(request.body);
+  ReadControl(&control);
+  gate_.Apply(&control);
+  const Availability after = gate_.settings().availability;
+  if (after == Availability::kRefusing && before != after) {
+    TakeDown();
+  }
+  if (before == Availability::kRefusing && before != after) {
+    BringUp();
+  }
+  return JsonResponse(200, Json{{"ok", true}});
+}
+
+void FaultyService::HandleRequest(ExchangeId exchange, HttpRequest request) {
+  switch (gate_.Admit(IsWrite(request), std::chrono::steady_clock::now())) {
+    case Admission::kUnavailable:
+      server().Respond(exchange, UnavailableResponse());
+      return;
+    case Admission::kThrottled:
+      server().Respond(exchange, ThrottledResponse());
+      return;
+    case Admission::kHanging:
+      return;
+    case Admission::kAdmitted:
+      break;
+  }
+  scheduler().After(gate_.settings().delay,
+                    [this, exchange, request = std::move(request)] {
+                      ExecuteAndRespond(exchange, request);
+                    });
+}
+
+void FaultyService::ExecuteAndRespond(ExchangeId exchange,
+                                      const HttpRequest& request) {
+  HttpResponse response = Execute(request);
+  if (gate_.TakeDroppedReply(IsWrite(request))) {
+    server().Cut(exchange);
+    return;
+  }
+  const std::chrono::milliseconds delay = gate_.settings().reply_delay;
+  if (delay.count() == 0) {
+    server().Respond(exchange, std::move(response));
+    return;
+  }
+  scheduler().After(delay, [this, exchange, response = std::move(response)] {
+    server().Respond(exchange, response);
+  });
+}
+
+}  // namespace filbertshift::emulator
--- /dev/null
+++ b/emulator/http/task_scheduler.h
@@ -0,0 +1,45 @@
+// Runs tasks at set times on one thread.
+
+#ifndef EMULATOR_HTTP_TASK_SCHEDULER_H_
+#define EMULATOR_HTTP_TASK_SCHEDULER_H_
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace filbertshift::emulator {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+// All methods are thread-safe. Tasks run one after the other; tasks that are
+// due at the same time run in the order in which they were added.
+class TaskScheduler {
+ public:
+  TaskScheduler();
+  ~TaskScheduler();
+  TaskScheduler(const TaskScheduler&) = delete;
+  TaskScheduler& operator=(const TaskScheduler&) = delete;
+
+  void At(SteadyTime due, std::function<void()> task);
+  void After(std::chrono::microseconds delay, std::function<void()> task);
+
+  // Drops all waiting tasks and ends the thread. Later tasks are dropped. Must
+  // not be called by a task.
+  void Stop();
+
+ private:
+  void Run();
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool stopped_ = false;
+  std::multimap<SteadyTime, std::function<void()>> tasks_;
+  std::thread thread_;
+};
+
+}  // namespace filbertshift::emulator
+
+#endif  // EMULATOR_HTTP_TASK_SCHEDULER_H_
--- /dev/null
+++ b/emulator/instances/instance_list_service.cc
@@ -0,0 +1,93 @@
+#include "emulator/instances/instance_list_service.h"
+
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+namespace filbertshift::emulator {
+
+namespace {
+
+// Returns what is wrong with the list; empty if nothing is.
+std::string FindFault(const Json& list) {
+  if (!list.is_array()) {
+    return "the list is not a JSON array";
+  }
+  for (const Json& group : list) {
+    if (!group.is_object() || !group.contains("targets") ||
+        !group["targets"].is_array() || !group.contains("labels") ||
+        !group["labels"].is_object()) {
+      return "an entry needs the array targets and the object labels";
+    }
+    for (const Json& label : group["labels"]) {
+      if (!label.is_string()) {
+        return "labels must be strings";
+      }
+    }
+  }
+  return std::string();
+}
+
+}  // namespace
+
+InstanceListService::InstanceListService(const ServicePorts& ports,
+                                         const Json& initial)
+    : FaultyService(ports) {
+  const std::string fault = FindFault(initial);
+  if (!fault.empty()) {
+    throw std::invalid_argument(fault);
+  }
+  list_.Replace(initial, std::chrono::steady_clock::now());
+}
+
+InstanceListService::~InstanceListService() {
+  Stop();
+}
+
+bool InstanceListService::IsWrite(const HttpRequest&) const {
+  return false;
+}
+
+HttpResponse InstanceListService::Execute(const HttpRequest& request) {
+  if (request.method != "GET" || request.path != "/instances") {
+    return ErrorResponse(404, "unknown path");
+  }
+  std::lock_guard<std::mutex> lock(mutex_);
+  return JsonResponse(200, list_.VisibleAt(std::chrono::steady_clock::now()));
+}
+
+void InstanceListService::ReadControl(ControlReader* control) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  std::chrono::milliseconds lag{0};
+  if (control->ReadDuration("lag_ms", &lag)) {
+    list_.set_lag(lag);
+  }
+  bool stale = false;
+  if (control->Read("stale", &stale)) {
+    list_.set_stale(stale, std::chrono::steady_clock::now());
+  }
+}
+
+HttpResponse InstanceListService::Inspect(const HttpRequest& request) {
+  if (request.path != "/_control/instances") {
+    return ErrorResponse(404, "unknown path");
+  }
+  if (request.method == "PUT") {
+    return Replace(request);
+  }
+  std::lock_guard<std::mutex> lock(mutex_);
+  return JsonResponse(200, list_.newest());
+}
+
+HttpResponse InstanceListService::Replace(const HttpRequest& request) {
+  Json list = Json::parse(request.body, nullptr, false);
+  const std::string fault = FindFault(list);
+  if (!fault.empty()) {
+    return ErrorResponse(400, fault);
+  }
+  std::lock_guard<std::mutex> lock(mutex_);
+  list_.Replace(std::move(list), std::chrono::steady_clock::now());
+  return JsonResponse(200, Json{{"ok", true}});
+}
+
+}  // namespace filbertshift::emulator
