Add the emulated model engine

Cause: tests need engines that batch, cache prefixes, crash while cold and answer deterministically, so that a checker can recompute each answer. Change: emulator/tokens has the token function and the request parser, emulator/engine the batching model, the faults, the history and the service.

--- a/emulator/http/faulty_service.cc
+++ b/emulator/http/faulty_service.cc
@@ -54,7 +54,8 @@
 void FaultyService::ExecuteAndRespond(ExchangeId exchange,
                                       const HttpRequest& request) {
   HttpResponse response = Execute(request);
-  if (gate_.TakeDroppedReply(IsWrite(request))) {
+  const bool effective = IsWrite(request) && response.status < 300;
+  if (gate_.TakeDroppedReply(effective)) {
     server().Cut(exchange);
     return;
   }
--- a/emulator/main/main.cc
+++ b/emulator/main/main.cc
@@ -14,6 +14,7 @@
 constexpr Command kCommands[] = {
     {"table", "transactional table service", &RunTableCommand},
     {"instances", "instance list", &RunInstancesCommand},
+    {"engine", "model engine", &RunEngineCommand},
 };
 
 void PrintUsage(std::FILE* out) {
--- /dev/null
+++ b/emulator/tokens/chat_request.h
@@ -0,0 +1,44 @@
+// The parts of a chat completions request that the emulated engine uses.
+
+#ifndef EMULATOR_TOKENS_CHAT_REQUEST_H_
+#define EMULATOR_TOKENS_CHAT_REQUEST_H_
+
+#include <cstddef>
+#include <optional>
+#include <stdexcept>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+namespace filbertshift::emulator {
+
+// The body is not a valid chat completions request.
+class ChatRequestError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct ChatRequest {
+  std::string model;
+  bool stream = false;
+  // Bound on the tokens of this answer, without those of `prefix`.
+  std::optional<std::size_t> max_tokens;
+  // All messages as "role: content\n", without the prefix.
+  std::string prompt;
+  // The start of the answer, from the last message of a request with
+  // continue_final_message.
+  std::string prefix;
+};
+
+// Throws ChatRequestError.
+ChatRequest ParseChatRequest(const std::string& body);
+
+// Prompt text of one user message.
+std::string UserPrompt(const std::string& content);
+
+// The engine counts a token for every four bytes of text.
+std::size_t CountPromptTokens(const std::string& text);
+
+}  // namespace filbertshift::emulator
+
+#endif  // EMULATOR_TOKENS_CHAT_REQUEST_H_
