Add the emulated plain service and the fault-injecting proxy

Cause: at-most-once execution and behaviour under network faults can only be checked against a service that counts executions and a proxy that cuts, freezes and delays. Change: emulator/service and emulator/proxy with sub-commands.

--- a/emulator/main/main.cc
+++ b/emulator/main/main.cc
@@ -15,6 +15,8 @@
     {"table", "transactional table service", &RunTableCommand},
     {"instances", "instance list", &RunInstancesCommand},
     {"engine", "model engine", &RunEngineCommand},
+    {"service", "plain service", &RunServiceCommand},
+    {"proxy", "fault-injecting TCP proxy", &RunProxyCommand},
 };
 
 void PrintUsage(std::FILE* out) {
