--- a/emulator/http/http_server.cc
+++ b/emulator/http/http_server.cc
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr unsigned kConnectionLimit = 10000;
-constexpr std::size_t kConnectionMemoryBytes = 64 * 1024;
-constexpr std::size_t kStreamBlockBytes = 16 * 1024;
+constexpr std::size_t kConnectionMemoryBytes = 65'536;
+constexpr std::size_t kStreamBlockBytes = 16'384;
 constexpr int kListenBacklog = 1024;
 
 // Context of the content reader.
@@ -267,7 +267,7 @@
   }
   if (!exchange->pending.empty()) {
     const std::size_t count = std::min(size, exchange->pending.size());
-    std::memcpy(buffer, exchange->pending.data(), count);
+    std::copy_n(exchange->pending.data(), count, buffer);
     exchange->pending.erase(0, count);
     return static_cast<ssize_t>(count);
   }
--- a/emulator/proxy/proxy_flow.cc
+++ b/emulator/proxy/proxy_flow.cc
@@ -9,9 +9,9 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 64 * 1024;
+constexpr std::size_t kReadBytes = 65'536;
 // Beyond this the source is not read, so that it feels backpressure.
-constexpr std::size_t kMaxQueuedBytes = 512 * 1024;
+constexpr std::size_t kMaxQueuedBytes = 524'288;
 
 }  // namespace
 
--- a/emulator/table/table_condition.cc
+++ b/emulator/table/table_condition.cc
@@ -9,9 +9,9 @@
 namespace {
 
 std::vector<std::string> SplitTerms(const std::string& expression) {
-  static const std::regex and_operator("\\s+AND\\s+", std::regex::icase);
+  static const std::regex kAndOperator("\\s+AND\\s+", std::regex::icase);
   return {std::sregex_token_iterator(expression.begin(), expression.end(),
-                                     and_operator, -1),
+                                     kAndOperator, -1),
           std::sregex_token_iterator()};
 }
 
@@ -64,17 +64,17 @@
 bool EvaluateTerm(const Json& operation,
                   const std::string& term,
                   const TableItem* item) {
-  static const std::regex existence(
+  static const std::regex kExistence(
       "\\s*attribute_(not_)?exists\\s*\\(\\s*([#\\w]+)\\s*\\)\\s*");
-  static const std::regex comparison(
+  static const std::regex kComparison(
       "\\s*([#\\w]+)\\s*(=|<>|<=|>=|<|>)\\s*(:\\w+)\\s*");
   std::smatch match;
-  if (std::regex_match(term, match, existence)) {
+  if (std::regex_match(term, match, kExistence)) {
     const std::string name = ResolveName(operation, match[2]);
     const bool exists = item != nullptr && item->contains(name);
     return exists != match[1].matched;
   }
-  if (std::regex_match(term, match, comparison)) {
+  if (std::regex_match(term, match, kComparison)) {
     const std::string name = ResolveName(operation, match[1]);
     const Json& value = ResolveValue(operation, match[3]);
     return item != nullptr && item->contains(name) &&
@@ -91,12 +91,12 @@
 }
 
 void ReadKeyTerm(const Json& request, const std::string& term, KeyRange* out) {
-  static const std::regex prefix(
+  static const std::regex kPrefix(
       "\\s*begins_with\\s*\\(\\s*([#\\w]+)\\s*,\\s*(:\\w+)\\s*\\)\\s*");
-  static const std::regex after("\\s*([#\\w]+)\\s*>\\s*(:\\w+)\\s*");
+  static const std::regex kAfter("\\s*([#\\w]+)\\s*>\\s*(:\\w+)\\s*");
   std::smatch match;
-  const bool is_prefix = std::regex_match(term, match, prefix);
-  if (!is_prefix && !std::regex_match(term, match, after)) {
+  const bool is_prefix = std::regex_match(term, match, kPrefix);
+  if (!is_prefix && !std::regex_match(term, match, kAfter)) {
     throw TableValidationError("unsupported key condition: " + term);
   }
   if (ResolveName(request, match[1]) != "pk") {
