Add the streaming endpoint client

Cause: the core needs attempts and probes over HTTP/1.1, and a request must reach only the incarnation of the endpoint that the core expects. Change: EndpointClient runs libcurl's socket interface on one epoll thread. Only probes open connections; a send is refused by the socket callback if it would open one, and by the check before the first byte if its connection was not verified for the required incarnation or if libcurl repeats a sent request. Idle connections are watched and reported as lost when the other side closes them. Bodies delimited only by the end of the connection count as broken, because they cannot be told from truncated ones.

--- /dev/null
+++ b/src/endpoint/endpoint_attempts.cc
@@ -0,0 +1,300 @@
+// The life of an attempt: verification of a connection, sending, the response
+// and its outcome; and the evaluation of probes.
+
+#include <stdexcept>
+#include <utility>
+
+#include "src/endpoint/endpoint_loop.h"
+#include "src/endpoint/metrics_text.h"
+
+namespace filbertshift {
+
+namespace {
+
+// A verified connection can be closed before the request reaches it; after
+// this many new ones the endpoint is not usable.
+constexpr int kMaxVerifications = 3;
+
+constexpr int kHttpOk = 200;
+
+// Time of the reply by the endpoint's own clock; zero if unknown.
+std::chrono::milliseconds EndpointTime(const EndpointMetrics& metrics,
+                                       const ResponseReader& reader) {
+  if (metrics.sample_time.count() > 0) {
+    return metrics.sample_time;
+  }
+  const std::string date = FindHeader(reader.headers(), "Date");
+  const time_t seconds =
+      date.empty() ? -1 : curl_getdate(date.c_str(), nullptr);
+  return std::chrono::seconds(seconds < 0 ? 0 : seconds);
+}
+
+std::chrono::microseconds RoundTrip(CURL* easy) {
+  curl_off_t before = 0;
+  curl_off_t first_byte = 0;
+  curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &before);
+  curl_easy_getinfo(easy, CURLINFO_STARTTRANSFER_TIME_T, &first_byte);
+  return std::chrono::microseconds(first_byte - before);
+}
+
+std::string OutcomeDetail(CURLcode result, const ResponseReader& reader) {
+  if (reader.too_large()) {
+    return "response is larger than the limit";
+  }
+  if (result != CURLE_OK) {
+    return curl_easy_strerror(result);
+  }
+  if (!reader.has_framing()) {
+    return "response has neither Content-Length nor chunked encoding";
+  }
+  return std::string();
+}
+
+}  // namespace
+
+void EndpointLoop::Execute(AttemptSpec spec) {
+  AttemptId id = spec.attempt;
+  auto [position, inserted] = attempts_.try_emplace(id);
+  if (!inserted) {
+    ReleaseAttempt();
+    return;
+  }
+  Attempt* attempt = &position->second;
+  attempt->spec = std::move(spec);
+  auto timeout = attempt->spec.connect_timeout;
+  if (timeout.count() <= 0) {
+    timeout = options_.default_connect_timeout;
+  }
+  attempt->connect_deadline = clock_.Now() + timeout;
+  if (attempt->spec.incarnation == Incarnation()) {
+    EndAttempt(attempt, AttemptOutcome::kNotSent,
+               "the required incarnation is unknown");
+    return;
+  }
+  StartSend(attempt);
+}
+
+void EndpointLoop::Execute(const CancelCommand& command) {
+  auto found = attempts_.find(command.attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  auto transfer = transfers_.find(found->second.transfer);
+  if (transfer != transfers_.end()) {
+    EndTransfer(&transfer->second);
+    transfers_.erase(transfer);
+  }
+  EndAttempt(&found->second, AttemptOutcome::kCancelled, std::string());
+}
+
+void EndpointLoop::StartSend(Attempt* attempt) {
+  const AttemptSpec& spec = attempt->spec;
+  if (!connections_.HasIdle(spec.address, spec.incarnation)) {
+    StartVerification(attempt);
+    return;
+  }
+  Transfer* transfer =
+      AddTransfer(TransferKind::kSend, spec.endpoint, spec.address);
+  transfer->attempt = spec.attempt;
+  attempt->transfer = transfer->id;
+  try {
+    PrepareSend(transfer, spec);
+  } catch (const std::invalid_argument& error) {
+    transfers_.erase(attempt->transfer);
+    EndAttempt(attempt, AttemptOutcome::kNotSent, error.what());
+    return;
+  }
+  StartTransfer(transfer);
+  // Lets libcurl take the idle connection now, so that the next attempt does
+  // not count on the same one.
+  int running = 0;
+  curl_multi_socket_action(multi_.get(), CURL_SOCKET_TIMEOUT, 0, &running);
+}
+
+void EndpointLoop::StartVerification(Attempt* attempt) {
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      attempt->connect_deadline - clock_.Now());
+  if (left.count() <= 0 || attempt->verifications >= kMaxVerifications) {
+    EndAttempt(attempt, AttemptOutcome::kNotSent,
+               "no verified connection within the connect timeout");
+    return;
+  }
+  ++attempt->verifications;
+  const AttemptSpec& spec = attempt->spec;
+  Transfer* transfer =
+      AddTransfer(TransferKind::kVerify, spec.endpoint, spec.address);
+  transfer->attempt = spec.attempt;
+  attempt->transfer = transfer->id;
+  PrepareProbe(transfer, left, options_.max_probe_bytes, true);
+  StartTransfer(transfer);
+}
+
+bool EndpointLoop::OnHeaderLine(Transfer* transfer, std::string_view line) {
+  if (!transfer->reader->Count(line.size())) {
+    return false;
+  }
+  const bool complete = transfer->reader->AddHeaderLine(line);
+  if (complete && transfer->kind == TransferKind::kSend) {
+    AttemptHead head;
+    head.attempt = transfer->attempt;
+    head.http_status = transfer->reader->http_status();
+    head.headers = transfer->reader->headers();
+    Push(std::move(head));
+  }
+  return true;
+}
+
+bool EndpointLoop::OnBody(Transfer* transfer, std::string_view bytes) {
+  if (!transfer->reader->Count(bytes.size())) {
+    return false;
+  }
+  if (transfer->kind != TransferKind::kSend) {
+    transfer->probe_body.append(bytes);
+    return true;
+  }
+  AttemptData data;
+  data.attempt = transfer->attempt;
+  data.bytes = transfer->reader->is_event_stream()
+                   ? transfer->splitter.Add(bytes)
+                   : std::string(bytes);
+  if (!data.bytes.empty()) {
+    Push(std::move(data));
+  }
+  return true;
+}
+
+bool EndpointLoop::OnBeforeWrite(Transfer* transfer, int local_port) {
+  Connection* connection =
+      connections_.FindByPort(transfer->address, local_port);
+  if (connection == nullptr || connection->dead) {
+    transfer->refused = true;
+    return false;
+  }
+  if (transfer->kind == TransferKind::kSend) {
+    Attempt& attempt = attempts_.at(transfer->attempt);
+    // A second call means that libcurl repeats the request after the first
+    // connection broke; the request may have run by then.
+    if (attempt.sent || connection->verified != attempt.spec.incarnation) {
+      transfer->refused = true;
+      return false;
+    }
+    attempt.sent = true;
+    Push(AttemptSent{attempt.spec.attempt});
+  }
+  ++transfer->writes;
+  transfer->descriptor = connection->descriptor;
+  connection->transfer = transfer->id;
+  return true;
+}
+
+void EndpointLoop::Finish(Transfer* transfer, CURLcode result) {
+  const TransferId id = transfer->id;
+  ProbeResult probe;
+  if (transfer->kind != TransferKind::kSend) {
+    // Before the connection becomes idle, because unverified ones are closed.
+    probe = ReadProbe(transfer, result);
+  }
+  EndTransfer(transfer);
+  const bool repeated = transfer->writes > 1;
+  if (transfer->lost != Incarnation() && (result != CURLE_OK || repeated)) {
+    ReportLost(transfer->endpoint, transfer->lost);
+  }
+  switch (transfer->kind) {
+    case TransferKind::kProbe:
+      Push(std::move(probe));
+      break;
+    case TransferKind::kVerify:
+      FinishVerification(transfer, std::move(probe), result);
+      break;
+    case TransferKind::kSend:
+      FinishSend(transfer, result);
+      break;
+  }
+  transfers_.erase(id);
+}
+
+ProbeResult EndpointLoop::ReadProbe(Transfer* transfer, CURLcode result) {
+  ProbeResult probe;
+  probe.endpoint = transfer->endpoint;
+  const ResponseReader& reader = *transfer->reader;
+  if (result != CURLE_OK || reader.http_status() != kHttpOk ||
+      !reader.has_framing()) {
+    return probe;
+  }
+  const EndpointMetrics metrics = ParseEndpointMetrics(transfer->probe_body);
+  probe.reachable = true;
+  probe.incarnation.start_time = metrics.start_time;
+  probe.running = metrics.running;
+  probe.waiting = metrics.waiting;
+  probe.round_trip = RoundTrip(transfer->easy.get());
+  const auto now = EndpointTime(metrics, reader);
+  if (metrics.start_time.count() > 0 && now > metrics.start_time) {
+    probe.uptime = now - metrics.start_time;
+  }
+  MarkVerified(*transfer, probe.incarnation);
+  return probe;
+}
+
+void EndpointLoop::MarkVerified(const Transfer& transfer,
+                                Incarnation incarnation) {
+  Connection* connection = connections_.Find(transfer.descriptor);
+  if (connection != nullptr && connection->transfer == transfer.id) {
+    connection->verified = incarnation;
+  }
+  if (incarnation != Incarnation()) {
+    connections_.ShutDownIdle(transfer.endpoint, incarnation);
+  }
+}
+
+void EndpointLoop::FinishVerification(Transfer* transfer,
+                                      ProbeResult probe,
+                                      CURLcode result) {
+  Attempt* attempt = &attempts_.at(transfer->attempt);
+  if (!probe.reachable) {
+    std::string detail = "verification failed: ";
+    detail += result == CURLE_OK ? "invalid reply" : curl_easy_strerror(result);
+    EndAttempt(attempt, AttemptOutcome::kNotSent, std::move(detail));
+  } else if (probe.incarnation == attempt->spec.incarnation) {
+    StartSend(attempt);
+  } else {
+    Push(std::move(probe));
+    EndAttempt(attempt, AttemptOutcome::kIncarnationChanged, std::string());
+  }
+}
+
+void EndpointLoop::FinishSend(Transfer* transfer, CURLcode result) {
+  Attempt* attempt = &attempts_.at(transfer->attempt);
+  if (attempt->sent) {
+    FinishSent(transfer, attempt, result);
+  } else if (transfer->refused) {
+    StartVerification(attempt);
+  } else {
+    EndAttempt(attempt, AttemptOutcome::kNotSent, curl_easy_strerror(result));
+  }
+}
+
+void EndpointLoop::FinishSent(Transfer* transfer,
+                              Attempt* attempt,
+                              CURLcode result) {
+  const AttemptOutcome outcome = ClassifySent(result, *transfer->reader);
+  std::string rest = transfer->splitter.TakeRest();
+  if (outcome == AttemptOutcome::kComplete && !rest.empty()) {
+    Push(AttemptData{attempt->spec.attempt, std::move(rest)});
+  }
+  EndAttempt(attempt, outcome, OutcomeDetail(result, *transfer->reader));
+}
+
+void EndpointLoop::EndAttempt(Attempt* attempt,
+                              AttemptOutcome outcome,
+                              std::string detail) {
+  AttemptEnd end;
+  end.attempt = attempt->spec.attempt;
+  end.endpoint = attempt->spec.endpoint;
+  end.outcome = outcome;
+  end.detail = std::move(detail);
+  attempts_.erase(end.attempt);
+  ReleaseAttempt();
+  Push(std::move(end));
+}
+
+}  // namespace filbertshift
--- /dev/null
+++ b/src/endpoint/event_splitter.h
@@ -0,0 +1,37 @@
+// Cuts a stream of server-sent events at event boundaries.
+
+#ifndef SRC_ENDPOINT_EVENT_SPLITTER_H_
+#define SRC_ENDPOINT_EVENT_SPLITTER_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace filbertshift {
+
+// An event ends with an empty line; lines end with LF, CR LF or CR.
+class EventSplitter {
+ public:
+  // Adds bytes and returns all events that are complete, without the start of
+  // the next one.
+  std::string Add(std::string_view bytes);
+  // Returns what is left after the last complete event.
+  std::string TakeRest();
+
+ private:
+  // Finds the end of the last event in pending_ from scanned_ on.
+  std::size_t FindLastBoundary();
+
+  // Invariant: pending_ starts at an event boundary, and no event ends within
+  // its first scanned_ bytes.
+  std::string pending_;
+  std::size_t scanned_ = 0;
+  // State of the scan at scanned_: whether the current line has no bytes yet,
+  // and whether the last byte was a CR.
+  bool line_empty_ = false;
+  bool after_cr_ = false;
+};
+
+}  // namespace filbertshift
+
+#endif  // SRC_ENDPOINT_EVENT_SPLITTER_H_
--- /dev/null
+++ b/tests/unit/endpoint/endpoint_test.cc
@@ -0,0 +1,500 @@
+// Tests of the endpoint client against small servers on the loopback interface.
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <string>
+#include <thread>
+
+#include "src/endpoint/endpoint.h"
+#include "tests/unit/endpoint/fake_endpoint.h"
+#include "tests/unit/support/core_inbox.h"
+
+namespace filbertshift {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Incarnation kFirstLife{milliseconds(1'780'000'000'000)};
+constexpr Incarnation kSecondLife{milliseconds(1'780'000'100'000)};
+constexpr std::size_t kMaxResponseBytes = 100'000;
+
+EndpointId TestedEndpoint() {
+  return EndpointId("e1");
+}
+
+struct Client {
+  explicit Client(std::size_t ring_capacity = 65536) : inbox(ring_capacity) {}
+
+  CoreInbox inbox;
+  SystemClock clock;
+  EndpointClient client{EndpointClientOptions(), inbox.ring(), clock};
+
+  void Start(const std::string& name,
+             const FakeEndpoint& endpoint,
+             Incarnation incarnation = kFirstLife) {
+    AttemptSpec spec;
+    spec.attempt = AttemptId(name);
+    spec.endpoint = TestedEndpoint();
+    spec.address = endpoint.address();
+    spec.method = "POST";
+    spec.target = "/v1/chat/completions?x=1";
+    spec.headers = {{"Content-Type", "application/json"},
+                    {"X-Request-Id", name}};
+    spec.body = "{\"n\":\"" + name + "\"}";
+    spec.incarnation = incarnation;
+    spec.connect_timeout = milliseconds(2000);
+    spec.max_response_bytes = kMaxResponseBytes;
+    const bool started = client.Start(std::move(spec));
+    REQUIRE(started);
+  }
+
+  AttemptEnd TakeEnd() {
+    auto end = inbox.Take<AttemptEnd>();
+    REQUIRE(end);
+    return *end;
+  }
+
+  std::string TakeBody() {
+    std::string body;
+    while (auto data = inbox.Take<AttemptData>(milliseconds(0))) {
+      body += data->bytes;
+    }
+    return body;
+  }
+};
+
+FakeEndpoint::Handler Reply(std::string reply, bool keep_open) {
+  return [reply = std::move(reply), keep_open](const TestSocket& socket,
+                                               const std::string&) {
+    return socket.Write(reply) && keep_open;
+  };
+}
+
+constexpr const char* kOkReply =
+    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+    "Content-Length: 2\r\n\r\n{}";
+
+// Guards against a request that is changed on its way, and against messages
+// out of order.
+TEST_CASE("endpoint client sends a request and reports it in order",
+          "[endpoint]") {
+  FakeEndpoint endpoint(kFirstLife, Reply(kOkReply, true));
+  Client client;
+  client.Start("a1", endpoint);
+  auto sent = client.inbox.Next();
+  REQUIRE(sent);
+  CHECK(std::get<AttemptSent>(*sent).attempt == AttemptId("a1"));
+  auto head = client.inbox.Next();
+  REQUIRE(head);
+  CHECK(std::get<AttemptHead>(*head).http_status == 200);
+  CHECK(FindHeader(std::get<AttemptHead>(*head).headers, "content-type") ==
+        "application/json");
+  auto data = client.inbox.Next();
+  REQUIRE(data);
+  CHECK(std::get<AttemptData>(*data).bytes == "{}");
+  CHECK(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+  const auto requests = endpoint.requests();
+  REQUIRE(requests.size() == 1);
+  const std::string& text = requests[0].text;
+  CHECK(text.rfind("POST /v1/chat/completions?x=1 HTTP/1.1\r\n", 0) == 0);
+  CHECK(text.find("X-Request-Id: a1\r\n") != std::string::npos);
+  CHECK(text.find("Content-Length: 10\r\n") != std::string::npos);
+  CHECK(text.find("\r\n\r\n{\"n\":\"a1\"}") != std::string::npos);
+}
+
+// Guards against a probe for each request where one connection would do.
+TEST_CASE("endpoint client reuses a verified connection", "[endpoint]") {
+  FakeEndpoint endpoint(kFirstLife, Reply(kOkReply, true));
+  Client client;
+  for (int i = 0; i < 5; ++i) {
+    client.Start("a" + std::to_string(i), endpoint);
+    CHECK(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+  }
+  CHECK(endpoint.probes() == 1);
+  for (const RecordedRequest& request : endpoint.requests()) {
+    CHECK(request.connection == 0);
+    CHECK(request.probed);
+  }
+}
+
+// Guards against an answer that is held back until its end.
+TEST_CASE("endpoint client streams events before the end", "[endpoint]") {
+  std::atomic<bool> first_seen{false};
+  FakeEndpoint endpoint(
+      kFirstLife, [&first_seen](const TestSocket& socket, const std::string&) {
+        socket.Write(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+            "a\r\ndata: 1\n\nd\r\n");
+        while (!first_seen) {
+          std::this_thread::sleep_for(milliseconds(1));
+        }
+        return socket.Write("8\r\nata: 2\n\n\r\n0\r\n\r\n");
+      });
+  Client client;
+  client.Start("a1", endpoint);
+  auto first = client.inbox.Take<AttemptData>();
+  first_seen = true;
+  REQUIRE(first);
+  CHECK(first->bytes == "data: 1\n\n");
+  auto second = client.inbox.Take<AttemptData>();
+  REQUIRE(second);
+  CHECK(second->bytes == "data: 2\n\n");
+  CHECK(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+}
+
+// Guards against load on an endpoint that restarted between two requests: the
+// old connection is dead and a new one reaches another incarnation.
+TEST_CASE("endpoint client sends nothing to a new incarnation", "[endpoint]") {
+  FakeEndpoint endpoint(kFirstLife, Reply(kOkReply, true));
+  Client client;
+  client.Start("a1", endpoint);
+  CHECK(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+  endpoint.Die();
+  auto lost = client.inbox.Take<ConnectionLost>();
+  REQUIRE(lost);
+  CHECK(lost->endpoint == TestedEndpoint());
+  CHECK(lost->incarnation == kFirstLife);
+  endpoint.Return(kSecondLife);
+  client.Start("a2", endpoint);
+  const AttemptEnd end = client.TakeEnd();
+  CHECK(end.outcome == AttemptOutcome::kIncarnationChanged);
+  auto probe = client.inbox.Take<ProbeResult>();
+  REQUIRE(probe);
+  CHECK(probe->incarnation == kSecondLife);
+  CHECK(endpoint.requests().size() == 1);
+  client.Start("a3", endpoint, kSecondLife);
+  CHECK(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+  CHECK(endpoint.requests().size() == 2);
+}
+
+// Guards against a restart that is only noticed while the request is sent: the
+// requests start right after the return, before any idle close is handled.
+TEST_CASE("endpoint client survives restarts under requests", "[endpoint]") {
+  constexpr int kRounds = 30;
+  FakeEndpoint endpoint(kFirstLife, Reply(kOkReply, true));
+  Client client;
+  Incarnation current = kFirstLife;
+  for (int i = 0; i < kRounds; ++i) {
+    INFO("round " << i);
+    client.Start("warm" + std::to_string(i), endpoint, current);
+    REQUIRE(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+    const std::size_t before = endpoint.requests().size();
+    const Incarnation old = current;
+    current.start_time += milliseconds(10'000);
+    endpoint.Die();
+    endpoint.Return(current);
+    client.Start("old" + std::to_string(i), endpoint, old);
+    const AttemptOutcome outcome = client.TakeEnd().outcome;
+    // Broken if it was written to the dead connection.
+    CHECK((outcome == AttemptOutcome::kIncarnationChanged ||
+           outcome == AttemptOutcome::kBroken));
+    CHECK(endpoint.requests().size() == before);
+  }
+}
+
+// Guards against the retry that libcurl makes by itself when a reused
+// connection dies: the request must reach the endpoint once.
+TEST_CASE("endpoint client never repeats a sent request", "[endpoint]") {
+  std::atomic<bool> drop{false};
+  std::atomic<int> waiting{0};
+  FakeEndpoint endpoint(kFirstLife,
+                        [&](const TestSocket& socket, const std::string&) {
+                          if (drop) {
+                            return false;
+                          }
+                          ++waiting;
+                          while (waiting < 3) {
+                            std::this_thread::sleep_for(milliseconds(1));
+                          }
+                          return socket.Write(kOkReply);
+                        });
+  Client client;
+  // Three verified connections, so that a retry would find another one.
+  for (int i = 0; i < 3; ++i) {
+    client.Start("warm" + std::to_string(i), endpoint);
+  }
+  for (int i = 0; i < 3; ++i) {
+    REQUIRE(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+  }
+  drop = true;
+  client.Start("a1", endpoint);
+  CHECK(client.TakeEnd().outcome == AttemptOutcome::kBroken);
+  auto lost = client.inbox.Take<ConnectionLost>();
+  REQUIRE(lost);
+  CHECK(lost->incarnation == kFirstLife);
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(endpoint.requests().size() == 4);
+}
+
+// Guards against a request on a connection that no probe has verified, while
+// connections break at random and the endpoint returns with new start times.
+TEST_CASE("endpoint client writes only to verified connections", "[endpoint]") {
+  constexpr int kRounds = 8;
+  constexpr int kParallel = 20;
+  const std::uint64_t seed = SystemRandom(0).Next();
+  INFO("seed " << seed);
+  std::atomic<std::uint64_t> count{seed};
+  FakeEndpoint endpoint(
+      kFirstLife, [&](const TestSocket& socket, const std::string&) {
+        const bool keep = SystemRandom(++count).Next() % 4 != 0;
+        return socket.Write(kOkReply) && keep;
+      });
+  Client client;
+  Incarnation current = kFirstLife;
+  for (int round = 0; round < kRounds; ++round) {
+    for (int i = 0; i < kParallel; ++i) {
+      client.Start("a" + std::to_string(round) + "." + std::to_string(i),
+                   endpoint, current);
+    }
+    for (int i = 0; i < kParallel; ++i) {
+      client.TakeEnd();
+    }
+    current.start_time += milliseconds(1000);
+    endpoint.Die();
+    endpoint.Return(current);
+  }
+  const auto requests = endpoint.requests();
+  CHECK(requests.size() >= kRounds);
+  for (const RecordedRequest& request : requests) {
+    CHECK(request.probed);
+  }
+}
+
+// Guards against a request on the connection that libcurl opens by itself when
+// it finds an idle one dead. A full ring keeps the client from handling the
+// close of the idle connection before the request starts.
+TEST_CASE("endpoint client refuses a connection opened for a request",
+          "[endpoint]") {
+  FakeEndpoint endpoint(kFirstLife, Reply(kOkReply, true));
+  Client client(1);
+  client.Start("warm", endpoint);
+  REQUIRE(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+  for (int i = 0; i < 2; ++i) {
+    client.client.Probe(TestedEndpoint(), endpoint.address(),
+                        milliseconds(1000));
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  endpoint.Die();
+  endpoint.Return(kSecondLife);
+  client.Start("a1", endpoint);
+  std::this_thread::sleep_for(milliseconds(50));
+  CHECK(client.TakeEnd().outcome == AttemptOutcome::kIncarnationChanged);
+  CHECK(client.inbox.Take<ConnectionLost>());
+  CHECK(endpoint.requests().size() == 1);
+}
+
+struct FaultyReply {
+  const char* name;
+  std::string reply;
+  bool keep_open;
+  AttemptOutcome outcome;
+};
+
+// Guards against a truncated, malformed or oversized reply that passes for a
+// complete one.
+TEST_CASE("endpoint client classifies faulty replies", "[endpoint]") {
+  const auto fault = GENERATE(
+      FaultyReply{"short body",
+                  "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", false,
+                  AttemptOutcome::kBroken},
+      FaultyReply{"missing last chunk",
+                  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "3\r\nabc\r\n",
+                  false, AttemptOutcome::kBroken},
+      FaultyReply{"bad chunk size",
+                  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "xyz\r\nabc\r\n",
+                  true, AttemptOutcome::kBroken},
+      FaultyReply{"body without framing", "HTTP/1.1 200 OK\r\n\r\nabc", false,
+                  AttemptOutcome::kBroken},
+      FaultyReply{"no reply", "", false, AttemptOutcome::kBroken},
+      FaultyReply{"head without end", "HTTP/1.1 200 OK\r\nContent-", false,
+                  AttemptOutcome::kBroken},
+      FaultyReply{"not HTTP", "\x01\x02 what is this\r\n\r\n", true,
+                  AttemptOutcome::kGarbage},
+      FaultyReply{"bad content length",
+                  "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nabc", true,
+                  AttemptOutcome::kGarbage},
+      FaultyReply{"large body",
+                  "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
+                      std::string(200'000, 'x'),
+                  true, AttemptOutcome::kTooLarge},
+      FaultyReply{"large head",
+                  "HTTP/1.1 200 OK\r\nX-A: " + std::string(90'000, 'x') +
+                      "\r\nX-B: " + std::string(90'000, 'x') + "\r\n\r\n",
+                  true, AttemptOutcome::kTooLarge});
+  INFO(fault.name);
+  FakeEndpoint endpoint(kFirstLife, Reply(fault.reply, fault.keep_open));
+  Client client;
+  client.Start("a1", endpoint);
+  const AttemptEnd end = client.TakeEnd();
+  INFO(end.detail);
+  CHECK(AttemptOutcomeName(end.outcome) == AttemptOutcomeName(fault.outcome));
+  CHECK(endpoint.requests().size() == 1);
+}
+
+// Guards against bytes of one answer that are taken for the next one on the
+// same connection.
+TEST_CASE("endpoint client drops a connection with unexpected bytes",
+          "[endpoint]") {
+  FakeEndpoint endpoint(
+      kFirstLife, Reply(std::string(kOkReply) +
+                            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale",
+                        true));
+  Client client;
+  for (int i = 0; i < 3; ++i) {
+    client.Start("a" + std::to_string(i), endpoint);
+    CHECK(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+    CHECK(client.TakeBody() == "{}");
+  }
+}
+
+// Guards against a claim of kNotSent that is not true, and its reverse.
+TEST_CASE("endpoint client reports an unreachable endpoint as not sent",
+          "[endpoint]") {
+  FakeEndpoint endpoint(kFirstLife, Reply(kOkReply, true));
+  endpoint.Die();
+  Client client;
+  client.Start("a1", endpoint);
+  CHECK(client.TakeEnd().outcome == AttemptOutcome::kNotSent);
+  CHECK_FALSE(client.inbox.Take<AttemptSent>(milliseconds(0)));
+}
+
+// Guards against header injection.
+TEST_CASE("endpoint client refuses headers with line breaks", "[endpoint]") {
+  FakeEndpoint endpoint(kFirstLife, Reply(kOkReply, true));
+  Client client;
+  client.Start("a\r\nX-Evil: 1", endpoint);
+  CHECK(client.TakeEnd().outcome == AttemptOutcome::kNotSent);
+  CHECK(endpoint.requests().empty());
+}
+
+// Guards against an attempt that goes on after its cancellation.
+TEST_CASE("endpoint client cancels an attempt", "[endpoint]") {
+  FakeEndpoint endpoint(
+      kFirstLife, [](const TestSocket& socket, const std::string&) {
+        socket.Write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab");
+        // Waits until the client closes.
+        return !socket.ReadSome().empty();
+      });
+  Client client;
+  client.Start("a1", endpoint);
+  REQUIRE(client.inbox.Take<AttemptData>());
+  client.client.Cancel(AttemptId("a1"));
+  CHECK(client.TakeEnd().outcome == AttemptOutcome::kCancelled);
+  // A second cancellation and late bytes have no effect.
+  client.client.Cancel(AttemptId("a1"));
+  CHECK_FALSE(client.inbox.Take<AttemptEnd>(milliseconds(50)));
+  CHECK_FALSE(client.inbox.Take<AttemptData>(milliseconds(0)));
+}
+
+// Guards against wrong uptime, which would raise the load too early.
+TEST_CASE("endpoint client reads start time, uptime and load", "[endpoint]") {
+  FakeEndpoint endpoint(kFirstLife, Reply(kOkReply, true));
+  Client client;
+  client.client.Probe(TestedEndpoint(), endpoint.address(), milliseconds(1000));
+  auto probe = client.inbox.Take<ProbeResult>();
+  REQUIRE(probe);
+  CHECK(probe->reachable);
+  CHECK(probe->incarnation == kFirstLife);
+  CHECK(probe->uptime == milliseconds(5000));
+  CHECK(probe->running == 3);
+  CHECK(probe->waiting == 2);
+  CHECK(probe->round_trip.count() > 0);
+  // The probed connection serves the next request.
+  client.Start("a1", endpoint);
+  CHECK(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+  CHECK(endpoint.probes() == 1);
+}
+
+// Guards against a probe that never ends, or that takes a broken reply for a
+// living endpoint.
+TEST_CASE("endpoint client bounds and checks probes", "[endpoint]") {
+  FakeEndpoint endpoint(kFirstLife, Reply(kOkReply, true));
+  Client client;
+  SECTION("silent endpoint") {
+    endpoint.SetProbeReply("HTTP/1.1 200 OK\r\n");
+  }
+  SECTION("error status") {
+    endpoint.SetProbeReply("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  }
+  SECTION("garbage") {
+    endpoint.SetProbeReply("garbage\r\n\r\n");
+  }
+  SECTION("closed port") {
+    endpoint.Die();
+  }
+  const auto start = std::chrono::steady_clock::now();
+  client.client.Probe(TestedEndpoint(), endpoint.address(), milliseconds(200));
+  auto probe = client.inbox.Take<ProbeResult>();
+  REQUIRE(probe);
+  CHECK_FALSE(probe->reachable);
+  CHECK(std::chrono::steady_clock::now() - start < milliseconds(1000));
+}
+
+// Guards against connections that stay open to an endpoint that has left.
+TEST_CASE("endpoint client closes idle connections on Forget", "[endpoint]") {
+  FakeEndpoint endpoint(kFirstLife, Reply(kOkReply, true));
+  Client client;
+  client.Start("a1", endpoint);
+  client.TakeEnd();
+  client.client.Forget(TestedEndpoint());
+  client.Start("a2", endpoint);
+  CHECK(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+  CHECK(endpoint.probes() == 2);
+  CHECK_FALSE(client.inbox.Take<ConnectionLost>(milliseconds(50)));
+}
+
+// Guards against lost or reordered messages when the core is slow.
+TEST_CASE("endpoint client waits for room in the core's ring", "[endpoint]") {
+  constexpr int kEvents = 500;
+  std::string body;
+  for (int i = 0; i < kEvents; ++i) {
+    body += "data: " + std::to_string(i) + "\n\n";
+  }
+  FakeEndpoint endpoint(
+      kFirstLife, [&body](const TestSocket& socket, const std::string&) {
+        std::string head =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            "Content-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n";
+        socket.Write(head);
+        for (std::size_t at = 0; at < body.size(); at += 16) {
+          socket.Write(body.substr(at, 16));
+        }
+        return true;
+      });
+  CoreInbox inbox(2);
+  SystemClock clock;
+  EndpointClient client(EndpointClientOptions(), inbox.ring(), clock);
+  AttemptSpec spec;
+  spec.attempt = AttemptId("a1");
+  spec.endpoint = TestedEndpoint();
+  spec.address = endpoint.address();
+  spec.method = "GET";
+  spec.target = "/";
+  spec.incarnation = kFirstLife;
+  spec.max_response_bytes = kMaxResponseBytes;
+  const bool started = client.Start(std::move(spec));
+  REQUIRE(started);
+  std::this_thread::sleep_for(milliseconds(100));
+  std::string received;
+  std::optional<AttemptEnd> end;
+  while (!end) {
+    auto message = inbox.Next();
+    REQUIRE(message);
+    if (auto* data = std::get_if<AttemptData>(&*message)) {
+      received += data->bytes;
+    } else if (auto* last = std::get_if<AttemptEnd>(&*message)) {
+      end = *last;
+    }
+  }
+  CHECK(end->outcome == AttemptOutcome::kComplete);
+  CHECK(received == body);
+}
+
+}  // namespace
+}  // namespace filbertshift
--- /dev/null
+++ b/tests/unit/support/loopback.h
@@ -0,0 +1,55 @@
+// Blocking TCP sockets on the loopback interface, for tests.
+
+#ifndef TESTS_UNIT_SUPPORT_LOOPBACK_H_
+#define TESTS_UNIT_SUPPORT_LOOPBACK_H_
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+namespace filbertshift {
+
+// Owns a descriptor.
+class TestSocket {
+ public:
+  TestSocket() = default;
+  explicit TestSocket(int descriptor) : descriptor_(descriptor) {}
+  ~TestSocket() { Close(); }
+  TestSocket(TestSocket&& other) noexcept;
+  TestSocket& operator=(TestSocket&& other) noexcept;
+  TestSocket(const TestSocket&) = delete;
+  TestSocket& operator=(const TestSocket&) = delete;
+
+  int descriptor() const { return descriptor_; }
+  void Close();
+  // Makes the close send a reset instead of a regular end.
+  void Reset();
+  // Returns false if the other side is gone.
+  bool Write(std::string_view bytes) const;
+  // Reads once; empty at the end of the stream, on error or after the timeout.
+  std::string ReadSome(
+      std::chrono::milliseconds timeout = std::chrono::seconds(5)) const;
+  // Reads until `end` has arrived; returns everything read so far if the
+  // stream ends or the time has passed first.
+  std::string ReadUntil(
+      std::string_view end,
+      std::chrono::milliseconds timeout = std::chrono::seconds(5)) const;
+  // Reads a request or response with its body by Content-Length.
+  std::string ReadMessage() const;
+
+ private:
+  int descriptor_ = -1;
+};
+
+// Listens on 127.0.0.1; port 0 lets the system choose. Throws
+// std::system_error.
+TestSocket ListenOnLoopback(int port = 0);
+int LocalPortOf(const TestSocket& socket);
+TestSocket ConnectToLoopback(int port);
+// Waits for a connection; invalid (-1) after the timeout.
+TestSocket AcceptFrom(const TestSocket& listener,
+                      std::chrono::milliseconds timeout);
+
+}  // namespace filbertshift
+
+#endif  // TESTS_UNIT_SUPPORT_LOOPBACK_H_
