Add execution records

A call with an idempotency key must run at most once over all instances. The record is written under a version condition before the call is sent; a lost reply is resolved by reading the record back, and a record that cannot be confirmed is replaced by a released record, so that the late write fails. Bodies that do not fit into a row go to the object store first.

TableWrite gets check_only, a pure condition, for configuration changes. ExecutionLedger takes ObjectCalls; ExecutionTicket holds the request hash.

--- a/src/ledger/execution_ledger.h
+++ b/src/ledger/execution_ledger.h
@@ -4,11 +4,15 @@
 #ifndef SRC_LEDGER_EXECUTION_LEDGER_H_
 #define SRC_LEDGER_EXECUTION_LEDGER_H_
 
+#include <chrono>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
 #include "src/ledger/charge.h"
+#include "src/ledger/stored_answer.h"
 #include "src/ledger/table_calls.h"
 
 namespace filbertshift {
@@ -18,19 +22,15 @@
   std::string idempotency_key;
 };
 
-// An answer as the caller got it.
-struct StoredAnswer {
-  int http_status = 0;
-  std::string content_type;
-  std::string body;
-};
-
 // Names the right of this try to send the call. Invariant: there is at most one
 // ticket for a key for which a call may be sent, over all instances.
 struct ExecutionTicket {
   ExecutionKey key;
   std::string owner_token;
+  // Version of the record that this ticket wrote.
   std::uint64_t row_version = 0;
+  std::string request_hash;
+  RequestId request;
 };
 
 enum class BeginStatus {
@@ -58,18 +58,26 @@
   // False if the result could not be stored yet; storing goes on.
   using CompleteCallback = std::function<void(bool stored)>;
 
+  // All references must outlive the ledger, and the ledger must outlive the
+  // last reply that `table` and `objects` deliver.
   ExecutionLedger(TableCalls& table,
+                  ObjectCalls& objects,
                   const Clock& clock,
                   Random& random,
                   EventLog& log);
 
+  // Does not wait for a record in progress; the caller asks again. A write of
+  // the record whose outcome stays unknown gives kUnavailable and is released
+  // in the background.
   void Begin(const ExecutionKey& key,
              const std::string& request_hash,
              const RequestId& request,
              BeginCallback callback);
 
   // Stores the answer and the charge in one transaction. Retries until the
-  // table service confirms; the callback comes after the first result.
+  // table service confirms; the callback comes after the first result. A body
+  // that does not fit into a row goes to the object store before the row is
+  // written.
   void Complete(const ExecutionTicket& ticket,
                 const StoredAnswer& answer,
                 const std::optional<Charge>& charge,
@@ -83,7 +91,66 @@
 
   // Writes that the table service has not confirmed; zero before a shutdown
   // may end.
-  std::size_t unconfirmed() const;
+  std::size_t unconfirmed() const { return pending_.size(); }
+
+ private:
+  // A Begin that has not called back.
+  struct Reservation {
+    ExecutionTicket ticket;
+    // Version of the row on which the write of the record is conditional.
+    std::uint64_t expected_version = 0;
+    int writes = 0;
+    BeginCallback callback;
+  };
+
+  // A write that is repeated until its outcome is known.
+  struct PendingWrite {
+    bool complete = false;
+    ExecutionTicket ticket;
+    // Version of the row on which the next write is conditional.
+    std::uint64_t expected_version = 0;
+    // The new value of the row.
+    std::string value;
+    // Object to store before the row; empty if there is none or it is stored.
+    std::string object;
+    std::string object_bytes;
+    CompleteCallback callback;
+    bool in_flight = false;
+    TimePoint next_try;
+    std::chrono::milliseconds delay{0};
+  };
+
+  void WriteReservation(std::uint64_t id);
+  void OnReservationWritten(std::uint64_t id, const TableReply& reply);
+  void ReadRecord(std::uint64_t id, bool may_be_written);
+  void OnRecordRead(std::uint64_t id,
+                    bool may_be_written,
+                    const TableReply& reply);
+  void JudgeRecord(std::uint64_t id, const TableRow& row);
+  void Replay(std::uint64_t id, const EncodedAnswer& answer);
+  void EndReservation(std::uint64_t id, BeginResult result);
+  void EndOwned(std::uint64_t id, std::uint64_t row_version);
+  void EndUnavailable(std::uint64_t id, bool may_be_written);
+
+  void ReleaseAt(const ExecutionTicket& ticket, std::uint64_t expected_version);
+  std::uint64_t AddPending(PendingWrite write);
+  void Step(std::uint64_t id);
+  void PutObject(std::uint64_t id);
+  void OnWritten(std::uint64_t id, const TableReply& reply);
+  void ReadBack(std::uint64_t id);
+  void OnReadBack(std::uint64_t id, const TableReply& reply);
+  // Calls back with `false` if nothing was reported yet, and tries again later.
+  void RetryLater(std::uint64_t id);
+  void EndPending(std::uint64_t id, bool stored);
+
+  TableCalls& table_;
+  ObjectCalls& objects_;
+  const Clock& clock_;
+  Random& random_;
+  EventLog& log_;
+  std::uint64_t next_id_ = 1;
+  std::map<std::uint64_t, Reservation> reservations_;
+  std::map<std::uint64_t, PendingWrite> pending_;
 };
 
 }  // namespace filbertshift
--- a/src/ledger/table_calls.h
+++ b/src/ledger/table_calls.h
@@ -38,6 +38,8 @@
 
  private:
   OperationId Register(Callback callback);
+  // Logs when the table service stops or starts to answer.
+  void NoteOutcome(const TableReply& reply);
 
   TablePort& port_;
   EventLog& log_;
--- a/src/ports/table_port.h
+++ b/src/ports/table_port.h
@@ -26,6 +26,8 @@
   std::uint64_t expected_version = 0;
   std::string value;
   bool remove = false;
+  // True: only the condition is checked; the row stays as it is.
+  bool check_only = false;
 };
 
 // All writes take effect, or none.
