Add the platform adapter

One thread with one libcurl multi handle serves the table service, the object store, the instance list and the rating service.

An instance list with a malformed group is rejected as a whole, so that a half-read list does not look like a loss of endpoints.

--- /dev/null
+++ b/src/platform/instance_list_format.cc
@@ -0,0 +1,95 @@
+#include "src/platform/instance_list_format.h"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace filbertshift {
+namespace {
+
+using Json = nlohmann::json;
+
+// Throws if the label is missing, is no string or is empty.
+std::string Label(const Json& labels, const char* name) {
+  auto value = labels.at(name).get<std::string>();
+  if (value.empty()) {
+    throw std::invalid_argument(std::string("empty label ") + name);
+  }
+  return value;
+}
+
+bool IsLeaving(const Json& labels) {
+  const std::string state = Label(labels, "state");
+  if (state != "live" && state != "leaving") {
+    throw std::invalid_argument("unknown state " + state);
+  }
+  return state == "leaving";
+}
+
+// The single "ip:port" of a group.
+std::string Target(const Json& group) {
+  const Json& targets = group.at("targets");
+  if (!targets.is_array() || targets.size() != 1) {
+    throw std::invalid_argument("a group has exactly one target");
+  }
+  return targets.at(0).get<std::string>();
+}
+
+EndpointRecord DecodeEndpoint(const Json& group,
+                              const Json& labels,
+                              const std::string& role) {
+  EndpointRecord record;
+  record.endpoint = EndpointId(Label(labels, "id"));
+  record.address = Target(group);
+  record.data_centre = DataCentreId(Label(labels, "data_centre"));
+  record.leaving = IsLeaving(labels);
+  if (role == "model_engine") {
+    record.kind = EndpointKind::kModelEngine;
+    record.model = ModelId(Label(labels, "model"));
+    record.version = VersionId(Label(labels, "version"));
+  } else {
+    record.kind = EndpointKind::kPlainService;
+    record.service = ServiceId(Label(labels, "service"));
+  }
+  return record;
+}
+
+EntryInstanceRecord DecodeInstance(const Json& group, const Json& labels) {
+  EntryInstanceRecord record;
+  record.instance = InstanceId(Label(labels, "id"));
+  record.peer_address = Target(group);
+  record.data_centre = DataCentreId(Label(labels, "data_centre"));
+  record.leaving = IsLeaving(labels);
+  return record;
+}
+
+void DecodeGroup(const Json& group, InstanceListRead* list) {
+  const Json& labels = group.at("labels");
+  const std::string role = Label(labels, "role");
+  if (role == "model_engine" || role == "plain_service") {
+    list->endpoints.push_back(DecodeEndpoint(group, labels, role));
+  } else if (role == "entry") {
+    list->instances.push_back(DecodeInstance(group, labels));
+  }
+}
+
+}  // namespace
+
+InstanceListRead DecodeInstanceList(const std::string& text) {
+  InstanceListRead list;
+  try {
+    const Json groups = Json::parse(text);
+    if (!groups.is_array()) {
+      throw std::invalid_argument("not an array");
+    }
+    for (const Json& group : groups) {
+      DecodeGroup(group, &list);
+    }
+    list.ok = true;
+  } catch (const std::exception& error) {
+    list = InstanceListRead();
+    list.detail = std::string("malformed instance list: ") + error.what();
+  }
+  return list;
+}
+
+}  // namespace filbertshift
--- /dev/null
+++ b/src/platform/platform_requests.h
@@ -0,0 +1,76 @@
+// Calls to the platform services and the HTTP requests that they become.
+
+#ifndef SRC_PLATFORM_PLATFORM_REQUESTS_H_
+#define SRC_PLATFORM_PLATFORM_REQUESTS_H_
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "src/platform/http_transfer.h"
+#include "src/platform/platform.h"
+
+namespace filbertshift {
+
+struct TransactCall {
+  TableTransaction transaction;
+};
+
+struct GetRowsCall {
+  // Keys that are not looked up yet.
+  std::vector<std::string> keys;
+  std::vector<TableRow> rows;
+  int rounds = 0;
+};
+
+struct QueryCall {
+  std::string prefix;
+  std::string after;
+  std::size_t limit = 0;
+  // Last evaluated key of the page before.
+  std::string start_key;
+  std::vector<TableRow> rows;
+  int pages = 0;
+};
+
+struct PutObjectCall {
+  std::string name;
+  std::string bytes;
+};
+
+struct GetObjectCall {
+  std::string name;
+};
+
+struct RemoveObjectCall {
+  std::string name;
+};
+
+struct RateCall {
+  RatingQuery query;
+};
+
+struct ReadInstancesCall {};
+
+struct PlatformCall {
+  OperationId operation{};
+  TimePoint deadline;
+  std::variant<TransactCall,
+               GetRowsCall,
+               QueryCall,
+               PutObjectCall,
+               GetObjectCall,
+               RemoveObjectCall,
+               RateCall,
+               ReadInstancesCall>
+      detail;
+};
+
+// The next request of a call, without its timeout. Throws
+// std::invalid_argument for a call that cannot be sent.
+HttpRequest MakeRequest(const PlatformOptions& options,
+                        const PlatformCall& call);
+
+}  // namespace filbertshift
+
+#endif  // SRC_PLATFORM_PLATFORM_REQUESTS_H_
--- /dev/null
+++ b/src/platform/platform_worker.cc
@@ -0,0 +1,324 @@
+#include "src/platform/platform_worker.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "src/platform/instance_list_format.h"
+#include "src/platform/platform_requests.h"
+#include "src/platform/table_protocol.h"
+
+namespace filbertshift {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::chrono::milliseconds kMaxPollWait{50};
+// Wait while the ring to the core is full.
+constexpr std::chrono::milliseconds kFullRingWait{1};
+// Rounds for keys that the service leaves unprocessed, and pages of a scan;
+// beyond them the call ends as failed.
+constexpr int kMaxReadRounds = 8;
+constexpr int kMaxScanPages = 1000;
+
+TimePoint Now() {
+  return std::chrono::steady_clock::now();
+}
+
+// Keeps the `limit` rows with the lowest keys and one more, which shows that
+// there are more.
+void KeepLowest(std::size_t limit, std::vector<TableRow>* rows) {
+  std::sort(rows->begin(), rows->end(),
+            [](const TableRow& a, const TableRow& b) { return a.key < b.key; });
+  if (rows->size() > limit + 1) {
+    rows->resize(limit + 1);
+  }
+}
+
+}  // namespace
+
+PlatformClient::Worker::Worker(PlatformOptions options,
+                               CoreRing& core,
+                               EventLog& log)
+    : options_(std::move(options)),
+      core_(core),
+      log_(log),
+      calls_(options_.max_pending),
+      multi_(curl_multi_init()),
+      next_instance_poll_(Now()) {
+  if (!multi_) {
+    throw std::runtime_error("curl_multi_init failed");
+  }
+  // Transfers beyond the limit wait inside libcurl, and their timeout runs.
+  curl_multi_setopt(multi_.get(), CURLMOPT_MAX_HOST_CONNECTIONS,
+                    static_cast<long>(options_.max_parallel));
+  curl_multi_setopt(multi_.get(), CURLMOPT_MAXCONNECTS,
+                    static_cast<long>(options_.max_parallel * 4));
+  thread_ = std::thread([this] { Run(); });
+}
+
+PlatformClient::Worker::~Worker() {
+  stopping_ = true;
+  curl_multi_wakeup(multi_.get());
+  thread_.join();
+  for (auto& [handle, running] : running_) {
+    curl_multi_remove_handle(multi_.get(), handle);
+  }
+  running_.clear();
+}
+
+bool PlatformClient::Worker::Enqueue(OperationId operation,
+                                     decltype(PlatformCall::detail) detail) {
+  if (pending_.fetch_add(1) >= options_.max_pending) {
+    pending_.fetch_sub(1);
+    return false;
+  }
+  PlatformCall call;
+  call.operation = operation;
+  call.deadline = Now() + options_.timeout;
+  call.detail = std::move(detail);
+  if (!calls_.TryPush(std::move(call))) {
+    pending_.fetch_sub(1);
+    return false;
+  }
+  return true;
+}
+
+void PlatformClient::Worker::Run() {
+  while (!stopping_) {
+    // Sockets are not read while the core is behind.
+    if (!DeliverReplies()) {
+      std::this_thread::sleep_for(kFullRingWait);
+      continue;
+    }
+    TakeCalls();
+    PollInstances();
+    int running = 0;
+    curl_multi_perform(multi_.get(), &running);
+    HandleFinished();
+    if (!replies_.empty()) {
+      continue;
+    }
+    curl_waitfd descriptor{calls_.event_fd(), CURL_WAIT_POLLIN, 0};
+    curl_multi_poll(multi_.get(), &descriptor, 1,
+                    static_cast<int>(kMaxPollWait.count()), nullptr);
+  }
+}
+
+void PlatformClient::Worker::TakeCalls() {
+  std::vector<PlatformCall> calls;
+  calls_.PopAll(&calls);
+  for (PlatformCall& call : calls) {
+    Start(std::move(call));
+  }
+}
+
+void PlatformClient::Worker::PollInstances() {
+  const TimePoint now = Now();
+  if (instance_poll_running_ || now < next_instance_poll_ ||
+      options_.instance_list_address.empty()) {
+    return;
+  }
+  instance_poll_running_ = true;
+  next_instance_poll_ = now + options_.instance_list_poll_interval;
+  PlatformCall call;
+  call.deadline = now + options_.timeout;
+  call.detail = ReadInstancesCall();
+  Start(std::move(call));
+}
+
+void PlatformClient::Worker::HandleFinished() {
+  int waiting = 0;
+  while (CURLMsg* message = curl_multi_info_read(multi_.get(), &waiting)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    CURL* handle = message->easy_handle;
+    const CURLcode code = message->data.result;
+    curl_multi_remove_handle(multi_.get(), handle);
+    auto found = running_.find(handle);
+    Running finished = std::move(found->second);
+    running_.erase(found);
+    Finish(std::move(finished.call), finished.transfer->TakeResult(code));
+  }
+}
+
+bool PlatformClient::Worker::DeliverReplies() {
+  while (!replies_.empty()) {
+    const bool counted =
+        !std::holds_alternative<InstanceListRead>(replies_.front());
+    if (!core_.TryPush(std::move(replies_.front()))) {
+      return false;
+    }
+    replies_.pop_front();
+    if (counted) {
+      pending_.fetch_sub(1);
+    }
+  }
+  return true;
+}
+
+void PlatformClient::Worker::Start(PlatformCall call) {
+  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+      call.deadline - Now());
+  if (remaining.count() <= 0) {
+    Refuse(call, "the timeout passed before the call was sent");
+    return;
+  }
+  try {
+    HttpRequest request = MakeRequest(options_, call);
+    request.timeout = remaining;
+    auto transfer = std::make_unique<HttpTransfer>(std::move(request));
+    CURL* handle = transfer->handle();
+    if (curl_multi_add_handle(multi_.get(), handle) != CURLM_OK) {
+      Refuse(call, "curl_multi_add_handle failed");
+      return;
+    }
+    running_.emplace(handle, Running{std::move(call), std::move(transfer)});
+  } catch (const std::exception& error) {
+    Refuse(call, error.what());
+  }
+}
+
+void PlatformClient::Worker::Refuse(const PlatformCall& call,
+                                    const std::string& reason) {
+  HttpResult unsent;
+  unsent.detail = reason;
+  Finish(call, unsent);
+}
+
+void PlatformClient::Worker::Finish(PlatformCall call,
+                                    const HttpResult& result) {
+  if (std::holds_alternative<TransactCall>(call.detail)) {
+    TableReply reply = DecodeTransaction(result);
+    reply.operation = call.operation;
+    Reply(std::move(reply));
+  } else if (std::holds_alternative<GetRowsCall>(call.detail)) {
+    FinishRows(std::move(call), result);
+  } else if (std::holds_alternative<QueryCall>(call.detail)) {
+    FinishQuery(std::move(call), result);
+  } else if (std::holds_alternative<RateCall>(call.detail)) {
+    FinishRating(call, result);
+  } else if (std::holds_alternative<ReadInstancesCall>(call.detail)) {
+    FinishInstances(result);
+  } else {
+    FinishObject(call, result);
+  }
+}
+
+void PlatformClient::Worker::FinishRows(PlatformCall call,
+                                        const HttpResult& result) {
+  auto& get = std::get<GetRowsCall>(call.detail);
+  ReadPage page = DecodeBatchGet(options_.table_name, result);
+  TableReply reply;
+  reply.operation = call.operation;
+  reply.outcome = page.outcome;
+  reply.detail = std::move(page.detail);
+  if (page.outcome == TableOutcome::kOk) {
+    std::move(page.rows.begin(), page.rows.end(), std::back_inserter(get.rows));
+    const std::size_t asked = std::min(get.keys.size(), kMaxBatchGetKeys);
+    get.keys.erase(get.keys.begin(),
+                   get.keys.begin() + static_cast<std::ptrdiff_t>(asked));
+    get.keys.insert(get.keys.end(), page.unprocessed.begin(),
+                    page.unprocessed.end());
+    get.rounds += page.unprocessed.empty() ? 0 : 1;
+    if (!get.keys.empty() && get.rounds < kMaxReadRounds) {
+      Start(std::move(call));
+      return;
+    }
+    if (!get.keys.empty()) {
+      reply.outcome = TableOutcome::kNotApplied;
+      reply.detail = "the service left keys unprocessed";
+    } else {
+      reply.rows = std::move(get.rows);
+    }
+  }
+  Reply(std::move(reply));
+}
+
+void PlatformClient::Worker::FinishQuery(PlatformCall call,
+                                         const HttpResult& result) {
+  auto& query = std::get<QueryCall>(call.detail);
+  ReadPage page = DecodeScan(result);
+  TableReply reply;
+  reply.operation = call.operation;
+  reply.outcome = page.outcome;
+  reply.detail = std::move(page.detail);
+  if (page.outcome == TableOutcome::kOk) {
+    std::move(page.rows.begin(), page.rows.end(),
+              std::back_inserter(query.rows));
+    // The service does not scan in key order, so that every page is needed.
+    KeepLowest(query.limit, &query.rows);
+    query.start_key = page.last_key;
+    ++query.pages;
+    if (!query.start_key.empty() && query.pages < kMaxScanPages) {
+      Start(std::move(call));
+      return;
+    }
+    if (!query.start_key.empty()) {
+      reply.outcome = TableOutcome::kNotApplied;
+      reply.detail = "the scan has too many pages";
+    } else {
+      reply.more = query.rows.size() > query.limit;
+      query.rows.resize(std::min(query.rows.size(), query.limit));
+      reply.rows = std::move(query.rows);
+    }
+  }
+  Reply(std::move(reply));
+}
+
+void PlatformClient::Worker::FinishObject(const PlatformCall& call,
+                                          const HttpResult& result) {
+  ObjectReply reply;
+  reply.operation = call.operation;
+  reply.detail = result.detail;
+  if (result.complete) {
+    if (result.status == 200 || result.status == 204) {
+      reply.outcome = ObjectOutcome::kOk;
+      reply.bytes = result.body;
+    } else if (result.status == 404) {
+      reply.outcome = ObjectOutcome::kMissing;
+    } else {
+      reply.detail = "status " + std::to_string(result.status);
+    }
+  }
+  Reply(std::move(reply));
+}
+
+void PlatformClient::Worker::FinishRating(const PlatformCall& call,
+                                          const HttpResult& result) {
+  RatingReply reply;
+  reply.operation = call.operation;
+  if (result.complete && result.status == 200) {
+    const Json body = Json::parse(result.body, nullptr, false);
+    if (body.is_object() && body.contains("score") &&
+        body["score"].is_number()) {
+      reply.score = body["score"].get<double>();
+      reply.ok = reply.score >= 0 && reply.score <= 1;
+    }
+  }
+  Reply(reply);
+}
+
+void PlatformClient::Worker::FinishInstances(const HttpResult& result) {
+  instance_poll_running_ = false;
+  InstanceListRead list;
+  if (result.complete && result.status == 200) {
+    list = DecodeInstanceList(result.body);
+  } else {
+    list.detail = result.complete ? "status " + std::to_string(result.status)
+                                  : result.detail;
+  }
+  if (instance_list_ok_ && !list.ok) {
+    log_.Write(EventId::kInstanceListStale, list.detail);
+  }
+  instance_list_ok_ = list.ok;
+  Reply(std::move(list));
+}
+
+void PlatformClient::Worker::Reply(CoreMessage message) {
+  replies_.push_back(std::move(message));
+}
+
+}  // namespace filbertshift
