Read execution records of repeatable requests without reserving them

Cause: a repeatable request with a key must survive the loss of its instance, and a reserved record of a dead owner would answer later tries with unknown forever. Change: Lookup reads the record; Complete stores the first answer with its charge, also over a released record. Measured: builds; not yet tested.

--- a/src/core/core_attempts.cc
+++ b/src/core/core_attempts.cc
@@ -118,7 +118,7 @@
   }
   CheckInvariant(request->repeatable ||
                      (!request->ever_sent && request->ticket.has_value() &&
-                      request->ticket->row_version > 0),
+                      request->ticket->reserved),
                  "I9", *request);
   ++request->attempts;
   AttemptSpec spec = MakeAttempt(*request, *choice);
--- a/src/core/core_completion.cc
+++ b/src/core/core_completion.cc
@@ -131,7 +131,7 @@
   CheckInvariant(error.run != RunState::kNotRun ||
                      RunStateOf(request) == RunState::kNotRun,
                  "I8", request);
-  bool reserved = request.ticket.has_value() && request.ticket->row_version > 0;
+  bool reserved = request.ticket.has_value() && request.ticket->reserved;
   if (reserved && RunStateOf(request) == RunState::kNotRun) {
     executions_.Release(*request.ticket);
   }
--- a/src/core/core_intake.cc
+++ b/src/core/core_intake.cc
@@ -248,7 +248,7 @@
     OnExecutionBegun(id, result);
   };
   if (request.repeatable) {
-    executions_.Lookup(key, request.request_hash, callback);
+    executions_.Lookup(key, request.request_hash, id, callback);
   } else {
     executions_.Begin(key, request.request_hash, id, callback);
   }
@@ -258,7 +258,7 @@
   Request* request = Find(id);
   if (request == nullptr || request->stage != RequestStage::kPreparing) {
     // The request ended meanwhile and its call is certainly not sent.
-    if (result.status == BeginStatus::kOwned && result.ticket.row_version > 0) {
+    if (result.status == BeginStatus::kOwned && result.ticket.reserved) {
       executions_.Release(result.ticket);
     }
     return;
--- a/src/ledger/execution_ledger.cc
+++ b/src/ledger/execution_ledger.cc
@@ -98,15 +98,54 @@
                             BeginCallback callback) {
   const std::uint64_t id = next_id_++;
   Reservation& reservation = reservations_[id];
-  reservation.ticket.key = key;
-  reservation.ticket.owner_token = RandomToken(random_);
-  reservation.ticket.request_hash = request_hash;
-  reservation.ticket.request = request;
+  reservation.ticket = NewTicket(key, request_hash, request);
   reservation.callback = std::move(callback);
   // Most keys are new, so that a write without a read before it is cheapest.
   WriteReservation(id);
 }
 
+ExecutionTicket ExecutionLedger::NewTicket(const ExecutionKey& key,
+                                           const std::string& request_hash,
+                                           const RequestId& request) {
+  ExecutionTicket ticket;
+  ticket.key = key;
+  ticket.owner_token = RandomToken(random_);
+  ticket.request_hash = request_hash;
+  ticket.request = request;
+  return ticket;
+}
+
+void ExecutionLedger::Lookup(const ExecutionKey& key,
+                             const std::string& request_hash,
+                             const RequestId& request,
+                             BeginCallback callback) {
+  const std::uint64_t id = next_id_++;
+  Reservation& reservation = reservations_[id];
+  reservation.ticket = NewTicket(key, request_hash, request);
+  // A released record must not be taken over by a write.
+  reservation.writes = kMaxReservationWrites;
+  reservation.callback = std::move(callback);
+  table_.Get({RowKey(key)},
+             [this, id](const TableReply& reply) { OnLookedUp(id, reply); });
+}
+
+void ExecutionLedger::OnLookedUp(std::uint64_t id, const TableReply& reply) {
+  BeginResult result;
+  result.ticket = reservations_.at(id).ticket;
+  if (reply.outcome != TableOutcome::kOk) {
+    EndReservation(id, std::move(result));
+    return;
+  }
+  const Record record = FindRecord(reply);
+  if (reply.rows.empty() || record.state == kReleased) {
+    result.status = BeginStatus::kOwned;
+    result.ticket.row_version = FindVersion(reply);
+    EndReservation(id, std::move(result));
+    return;
+  }
+  JudgeRecord(id, reply.rows.front());
+}
+
 void ExecutionLedger::WriteReservation(std::uint64_t id) {
   Reservation& reservation = reservations_.at(id);
   ++reservation.writes;
@@ -223,6 +262,7 @@
   BeginResult result;
   result.status = BeginStatus::kOwned;
   result.ticket = reservations_.at(id).ticket;
+  result.ticket.reserved = true;
   result.ticket.row_version = row_version;
   log_.Write(EventId::kExecutionReserved, ContextOf(result.ticket),
              RowKey(result.ticket.key));
@@ -361,6 +401,9 @@
     // The late write of the record has taken effect before the release.
     write.expected_version = version;
     Step(id);
+  } else if (!write.ticket.reserved && record.state == kReleased) {
+    write.expected_version = version;
+    Step(id);
   } else if (version == write.expected_version) {
     RetryLater(id);
   } else {
@@ -386,7 +429,10 @@
   pending_.erase(found);
   const EventContext context = ContextOf(write.ticket);
   const std::string key = RowKey(write.ticket.key);
-  if (write.complete && !stored) {
+  if (write.complete && !stored && !write.ticket.reserved) {
+    log_.Write(EventId::kExecutionDone, context,
+               "another try has stored its answer before: " + key);
+  } else if (write.complete && !stored) {
     log_.Write(EventId::kInvariantViolated, context,
                "the execution record of a sent call has another owner: " + key);
   } else {
--- a/src/ledger/execution_ledger.h
+++ b/src/ledger/execution_ledger.h
@@ -27,7 +27,10 @@
 struct ExecutionTicket {
   ExecutionKey key;
   std::string owner_token;
-  // Version of the record that this ticket wrote.
+  // True if the record is durable, so that a call which may not be repeated may
+  // be sent.
+  bool reserved = false;
+  // Version of the record on which the next write is conditional.
   std::uint64_t row_version = 0;
   std::string request_hash;
   RequestId request;
@@ -75,11 +78,11 @@
              BeginCallback callback);
 
   // For repeatable requests: reads the record without reserving it. kOwned and
-  // kUnavailable come with a ticket of row version 0, with which Complete
-  // stores the first answer and its charge, if no other try has stored one
-  // before.
+  // kUnavailable come with an unreserved ticket, with which Complete stores the
+  // answer and its charge unless another try has stored one before.
   void Lookup(const ExecutionKey& key,
               const std::string& request_hash,
+              const RequestId& request,
               BeginCallback callback);
 
   // Stores the answer and the charge in one transaction. Retries until the
@@ -128,6 +131,10 @@
     std::chrono::milliseconds delay{0};
   };
 
+  ExecutionTicket NewTicket(const ExecutionKey& key,
+                            const std::string& request_hash,
+                            const RequestId& request);
+  void OnLookedUp(std::uint64_t id, const TableReply& reply);
   void WriteReservation(std::uint64_t id);
   void OnReservationWritten(std::uint64_t id, const TableReply& reply);
   void ReadRecord(std::uint64_t id, bool may_be_written);
