Add the load generator

Cause: latency and the completeness of answers have to be measured from the caller's side, in an open loop and against the deterministic token function.

--- a/emulator/main/command.cc
+++ b/emulator/main/command.cc
@@ -9,6 +9,18 @@
 
 namespace options = boost::program_options;
 
+namespace {
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGTERM);
+  return signals;
+}
+
+}  // namespace
+
 bool ParseOptions(const std::vector<std::string>& arguments,
                   const options::options_description& description,
                   options::variables_map* values) {
@@ -74,14 +86,16 @@
 }
 
 void WaitForStopSignal() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGTERM);
+  const sigset_t signals = StopSignals();
   int signal = 0;
   sigwait(&signals, &signal);
 }
 
+void RestoreStopSignals() {
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 void PrintAddress(const char* label, const ListenAddress& address) {
   std::printf("%s %s\n", label, FormatListenAddress(address).c_str());
   std::fflush(stdout);
--- a/emulator/main/command.h
+++ b/emulator/main/command.h
@@ -54,6 +54,9 @@
 // Waits for SIGINT or SIGTERM, which main has blocked for all threads.
 void WaitForStopSignal();
 
+// Lets SIGINT and SIGTERM end the process as usual.
+void RestoreStopSignals();
+
 // Prints "<label> 127.0.0.1:8080" at once.
 void PrintAddress(const char* label, const ListenAddress& address);
 
--- a/emulator/main/main.cc
+++ b/emulator/main/main.cc
@@ -17,6 +17,7 @@
     {"engine", "model engine", &RunEngineCommand},
     {"service", "plain service", &RunServiceCommand},
     {"proxy", "fault-injecting TCP proxy", &RunProxyCommand},
+    {"load", "load generator", &RunLoadCommand},
 };
 
 void PrintUsage(std::FILE* out) {
