Add the emulated object store and rating service

Cause: jobs need an object store, cascades a rating of answers. Change: emulator/objects and emulator/rating with sub-commands.

--- a/emulator/main/main.cc
+++ b/emulator/main/main.cc
@@ -18,6 +18,8 @@
     {"service", "plain service", &RunServiceCommand},
     {"proxy", "fault-injecting TCP proxy", &RunProxyCommand},
     {"load", "load generator", &RunLoadCommand},
+    {"objects", "object store", &RunObjectsCommand},
+    {"rating", "rating service", &RunRatingCommand},
 };
 
 void PrintUsage(std::FILE* out) {
