--- a/emulator/main/main.cc
+++ b/emulator/main/main.cc
@@ -17,6 +17,9 @@
     {"engine", "model engine", &RunEngineCommand},
     {"service", "plain service", &RunServiceCommand},
     {"proxy", "fault-injecting TCP proxy", &RunProxyCommand},
+    {"load", "load generator", &RunLoadCommand},
+    {"objects", "object store", &RunObjectsCommand},
+    {"rating", "rating service", &RunRatingCommand},
 };
 
 void PrintUsage(std::FILE* out) {
