Add the configuration ledger

Candidates that are not valid with the sections in force wait; the largest set that is valid together comes into force. A transaction that writes a section also checks that the other sections are unchanged, because two changes that are valid alone may be invalid together and would then never come into force. A lost reply is resolved from the history row.

--- a/src/ledger/configuration_ledger.h
+++ b/src/ledger/configuration_ledger.h
@@ -34,8 +34,11 @@
   std::vector<Finding> findings;
 };
 
+// Invariant: the revision of a section in force never goes down.
 class ConfigurationLedger {
  public:
+  // Throws FindingsError, as ParseConfiguration does.
+  using Parser = std::function<Configuration(const SectionTexts&)>;
   using ChangeCallback = std::function<void(const Configuration&)>;
   using ApplyCallback = std::function<void(const ApplyResult&)>;
 
@@ -43,14 +46,17 @@
                       TableCalls& table,
                       PeerPort& peers,
                       const Clock& clock,
-                      EventLog& log);
+                      EventLog& log,
+                      Parser parser = ParseConfiguration);
 
   // Called when a new configuration is in force.
   void SetHandler(ChangeCallback on_change);
 
   // Writes the section and its history row in one transaction conditional on
-  // `base_revision`, after validation against the stored other sections. A
-  // lost reply is resolved by reading the section back.
+  // `base_revision`, after validation against the stored other sections. The
+  // transaction is also conditional on the other sections: two changes that
+  // are valid alone may not be valid together. A lost reply is resolved by
+  // reading the history row back.
   void Apply(Section section,
              std::uint64_t base_revision,
              const std::string& text,
@@ -64,11 +70,81 @@
 
   // True once the table service, or a peer that is verified itself, has given
   // the sections. Before that no request may be served.
-  bool verified() const;
-  const Configuration& configuration() const;
-  const SectionTexts& sections() const;
+  bool verified() const { return verified_; }
+  const Configuration& configuration() const { return configuration_; }
+  const SectionTexts& sections() const { return sections_; }
   // In the order of ConfigurationSections().
   std::vector<std::uint64_t> Revisions() const;
+
+ private:
+  struct PendingApply {
+    Section section{};
+    std::uint64_t base_revision = 0;
+    std::string text;
+    // Value of the section row and of its history row.
+    std::string value;
+    std::string author;
+    TableTransaction transaction;
+    // True if a write may have taken effect or may still do so.
+    bool may_be_written = false;
+    // True if the last write met a failed condition.
+    bool conflicted = false;
+    int rounds = 0;
+    ApplyCallback callback;
+  };
+
+  // The sections as they are stored.
+  struct StoredSections {
+    SectionTexts texts;
+    std::map<Section, std::uint64_t> versions;
+  };
+
+  void Poll();
+  StoredSections ReadRows(const TableReply& reply) const;
+
+  void Offer(const SectionTexts& offered, bool stored);
+  void NoteStale(Section section, std::uint64_t revision);
+  // Puts the largest set of candidates into force that is valid together.
+  void TryCandidates();
+  bool TryTexts(const SectionTexts& changed);
+  void Adopt(const SectionTexts& changed, Configuration configuration);
+  void LogRejected();
+
+  void ReadBeforeApply(std::uint64_t id);
+  void OnReadBeforeApply(std::uint64_t id, const TableReply& reply);
+  std::vector<Finding> Validate(const PendingApply& apply,
+                                SectionTexts texts) const;
+  TableTransaction MakeTransaction(const PendingApply& apply,
+                                   const StoredSections& stored);
+  void SubmitApply(std::uint64_t id);
+  void OnApplied(std::uint64_t id, const TableReply& reply);
+  void ReadHistory(std::uint64_t id);
+  void OnHistoryRead(std::uint64_t id, const TableReply& reply);
+  void EndApply(std::uint64_t id, ApplyResult result);
+  void EndAccepted(std::uint64_t id);
+
+  const std::chrono::milliseconds poll_interval_;
+  TableCalls& table_;
+  PeerPort& peers_;
+  const Clock& clock_;
+  EventLog& log_;
+  const Parser parser_;
+  ChangeCallback on_change_;
+
+  // Invariant: has every section; configuration_ is parsed from it.
+  SectionTexts sections_;
+  Configuration configuration_;
+  // The highest revision seen of each section that is newer than the one in
+  // force, because it is not valid with the others.
+  SectionTexts candidates_;
+  // The revisions that were logged last, so that a poll does not repeat them.
+  std::map<Section, std::uint64_t> logged_rejected_;
+  std::map<Section, std::uint64_t> logged_stale_;
+  bool verified_ = false;
+  bool poll_running_ = false;
+  TimePoint next_poll_;
+  std::uint64_t next_id_ = 1;
+  std::map<std::uint64_t, PendingApply> applies_;
 };
 
 }  // namespace filbertshift
