--- a/src/ledger/configuration_ledger.h
+++ b/src/ledger/configuration_ledger.h
@@ -11,43 +11,23 @@
 #include <vector>
 
 #include "src/config/config.h"
+#include "src/ledger/configuration_writer.h"
 #include "src/ledger/table_calls.h"
 
 namespace filbertshift {
 
-enum class ApplyStatus {
-  kAccepted,
-  // Another change came first; `current` is what is stored now.
-  kConflict,
-  // The text is not valid; `findings` says why.
-  kInvalid,
-  // Certainly not stored.
-  kUnavailable,
-  // The table service did not say whether it is stored.
-  kUnknown,
-};
-
-struct ApplyResult {
-  ApplyStatus status = ApplyStatus::kUnavailable;
-  std::uint64_t revision = 0;
-  SectionText current;
-  std::vector<Finding> findings;
-};
-
 // Invariant: the revision of a section in force never goes down.
 class ConfigurationLedger {
  public:
-  // Throws FindingsError, as ParseConfiguration does.
-  using Parser = std::function<Configuration(const SectionTexts&)>;
   using ChangeCallback = std::function<void(const Configuration&)>;
-  using ApplyCallback = std::function<void(const ApplyResult&)>;
+  using ApplyCallback = ConfigurationWriter::Callback;
 
   ConfigurationLedger(std::chrono::milliseconds poll_interval,
                       TableCalls& table,
                       PeerPort& peers,
                       const Clock& clock,
                       EventLog& log,
-                      Parser parser = ParseConfiguration);
+                      SectionParser parser = ParseConfiguration);
 
   // Called when a new configuration is in force.
   void SetHandler(ChangeCallback on_change);
@@ -77,31 +57,7 @@
   std::vector<std::uint64_t> Revisions() const;
 
  private:
-  struct PendingApply {
-    Section section{};
-    std::uint64_t base_revision = 0;
-    std::string text;
-    // Value of the section row and of its history row.
-    std::string value;
-    std::string author;
-    TableTransaction transaction;
-    // True if a write may have taken effect or may still do so.
-    bool may_be_written = false;
-    // True if the last write met a failed condition.
-    bool conflicted = false;
-    int rounds = 0;
-    ApplyCallback callback;
-  };
-
-  // The sections as they are stored.
-  struct StoredSections {
-    SectionTexts texts;
-    std::map<Section, std::uint64_t> versions;
-  };
-
   void Poll();
-  StoredSections ReadRows(const TableReply& reply) const;
-
   void Offer(const SectionTexts& offered, bool stored);
   void NoteStale(Section section, std::uint64_t revision);
   // Puts the largest set of candidates into force that is valid together.
@@ -110,25 +66,14 @@
   void Adopt(const SectionTexts& changed, Configuration configuration);
   void LogRejected();
 
-  void ReadBeforeApply(std::uint64_t id);
-  void OnReadBeforeApply(std::uint64_t id, const TableReply& reply);
-  std::vector<Finding> Validate(const PendingApply& apply,
-                                SectionTexts texts) const;
-  TableTransaction MakeTransaction(const PendingApply& apply,
-                                   const StoredSections& stored);
-  void SubmitApply(std::uint64_t id);
-  void OnApplied(std::uint64_t id, const TableReply& reply);
-  void ReadHistory(std::uint64_t id);
-  void OnHistoryRead(std::uint64_t id, const TableReply& reply);
-  void EndApply(std::uint64_t id, ApplyResult result);
-  void EndAccepted(std::uint64_t id);
+  void OnAccepted(Section section, const SectionText& text);
 
   const std::chrono::milliseconds poll_interval_;
   TableCalls& table_;
   PeerPort& peers_;
   const Clock& clock_;
   EventLog& log_;
-  const Parser parser_;
+  const SectionParser parser_;
   ChangeCallback on_change_;
 
   // Invariant: has every section; configuration_ is parsed from it.
@@ -138,13 +83,14 @@
   // force, because it is not valid with the others.
   SectionTexts candidates_;
   // The revisions that were logged last, so that a poll does not repeat them.
+  // For stale ones the revision plus one; 0 is none.
   std::map<Section, std::uint64_t> logged_rejected_;
   std::map<Section, std::uint64_t> logged_stale_;
   bool verified_ = false;
   bool poll_running_ = false;
   TimePoint next_poll_;
-  std::uint64_t next_id_ = 1;
-  std::map<std::uint64_t, PendingApply> applies_;
+  // Declared after the parser and the sections, to which it refers.
+  ConfigurationWriter writer_;
 };
 
 }  // namespace filbertshift
