Rank seats once for each change of seats and measure the choice

Ranks are now kept while the seats are the same, and ranking stops once the seat is out. The detector comparison averages over all places of the hang.

--- a/src/routing/endpoint_registry.cc
+++ b/src/routing/endpoint_registry.cc
@@ -41,6 +41,7 @@
   const bool returning = has_plan_;
   configuration_ = configuration;
   SharePlan plan(configuration);
+  const bool same_seats = has_plan_ && plan.HasSameSeats(plan_);
   if (has_plan_ && plan != plan_) {
     past_plans_.push_back({std::move(plan_), now + options_.share_transition});
   }
@@ -50,7 +51,7 @@
     CloseShares(now + options_.share_transition - *missed_change_age);
   }
   for (Endpoint& endpoint : endpoints_) {
-    ApplyPlan(&endpoint, now);
+    ApplyPlan(&endpoint, same_seats, now);
     ApplyConfigurationTo(&endpoint, returning);
   }
   RefreshShares(now);
@@ -75,23 +76,27 @@
     const std::vector<EndpointRecord>& endpoints,
     TimePoint now) {
   ListChange change;
-  std::set<EndpointId> listed;
+  std::vector<bool> listed(endpoints_.size());
   bool changed = false;
   for (const EndpointRecord& record : endpoints) {
-    listed.insert(record.endpoint);
-    Endpoint* known = Find(record.endpoint);
-    if (known == nullptr) {
+    const auto slot = slots_.find(record.endpoint);
+    if (slot == slots_.end()) {
       AddEndpoint(record, now);
       change.added.push_back(record);
+      listed.push_back(true);
       changed = true;
-    } else if (!known->listed || !SameRecord(known->record, record)) {
-      UpdateEndpoint(known, record, now);
+      continue;
+    }
+    listed[slot->second] = true;
+    Endpoint& known = endpoints_[slot->second];
+    if (!known.listed || !SameRecord(known.record, record)) {
+      UpdateEndpoint(&known, record, now);
       changed = true;
     }
   }
-  for (Endpoint& endpoint : endpoints_) {
-    endpoint.listed = listed.count(endpoint.record.endpoint) > 0;
-    LogDraining(&endpoint);
+  for (EndpointSlot slot = 0; slot < endpoints_.size(); ++slot) {
+    endpoints_[slot].listed = listed[slot];
+    LogDraining(&endpoints_[slot]);
   }
   change.removed = RemoveVanished();
   if (changed || !change.removed.empty()) {
@@ -109,7 +114,7 @@
   for (const PastPlan& past : past_plans_) {
     AddPastPlan(&endpoint, past);
   }
-  ApplyPlan(&endpoint, now);
+  ApplyPlan(&endpoint, false, now);
   ApplyConfigurationTo(&endpoint, false);
   log_.Write(EventId::kEndpointAdded, About(record.endpoint),
              "address " + record.address);
@@ -124,7 +129,7 @@
   }
   endpoint->record = record;
   endpoint->listed = true;
-  ApplyPlan(endpoint, now);
+  ApplyPlan(endpoint, true, now);
   ApplyConfigurationTo(endpoint, true);
 }
 
@@ -153,8 +158,13 @@
   endpoints_.pop_back();
 }
 
-void EndpointRegistry::ApplyPlan(Endpoint* endpoint, TimePoint now) {
-  endpoint->share.Set(plan_.BasisFor(endpoint->record, options_.seat),
+void EndpointRegistry::ApplyPlan(Endpoint* endpoint,
+                                 bool same_seats,
+                                 TimePoint now) {
+  const std::optional<ShareBasis>& old = endpoint->share.basis();
+  endpoint->share.Set(same_seats && old
+                          ? plan_.BasisFor(endpoint->record, *old)
+                          : plan_.BasisFor(endpoint->record, options_.seat),
                       now + options_.share_transition);
 }
 
--- a/src/routing/endpoint_registry.h
+++ b/src/routing/endpoint_registry.h
@@ -184,7 +184,8 @@
   void RemoveSlot(EndpointSlot slot);
   void CloseShares(TimePoint until);
   void AddPastPlan(Endpoint* endpoint, const PastPlan& past);
-  void ApplyPlan(Endpoint* endpoint, TimePoint now);
+  // With `same_seats` the rank of the present basis still holds.
+  void ApplyPlan(Endpoint* endpoint, bool same_seats, TimePoint now);
   // An endpoint that is `returning` with its data centre warms up again.
   void ApplyConfigurationTo(Endpoint* endpoint, bool returning);
   bool IsConfigured(const EndpointRecord& record) const;
--- a/src/routing/seat_share.cc
+++ b/src/routing/seat_share.cc
@@ -51,6 +51,21 @@
   return result;
 }
 
+int SeatRank(const EndpointId& endpoint,
+             const std::vector<int>& seats,
+             int count,
+             int seat) {
+  if (std::find(seats.begin(), seats.end(), seat) == seats.end()) {
+    return -1;
+  }
+  const RankedSeat own{HashOf(endpoint, seat), seat};
+  int better = 0;
+  for (std::size_t i = 0; i < seats.size() && better < count; ++i) {
+    better += RanksBefore({HashOf(endpoint, seats[i]), seats[i]}, own) ? 1 : 0;
+  }
+  return better < count ? better : -1;
+}
+
 int LimitAtUptime(const EndpointLimits& limits,
                   std::chrono::milliseconds uptime) {
   if (uptime >= limits.warm_up) {
--- a/src/routing/seat_share.h
+++ b/src/routing/seat_share.h
@@ -18,6 +18,14 @@
                                  const std::vector<int>& seats,
                                  int count);
 
+// The place of `seat` in SeatsOfEndpoint, or -1. `seats` are distinct. Stops as
+// soon as `count` better seats are found, which makes it several times faster
+// with hundreds of seats.
+int SeatRank(const EndpointId& endpoint,
+             const std::vector<int>& seats,
+             int count,
+             int seat);
+
 // The limit after `uptime`: cold_start_concurrency at 0, growing linearly to
 // max_concurrency at warm_up, rounded down.
 int LimitAtUptime(const EndpointLimits& limits,
--- a/src/routing/share_plan.cc
+++ b/src/routing/share_plan.cc
@@ -36,6 +36,7 @@
 SharePlan::SharePlan(const Configuration& configuration)
     : seats_(configuration.Seats()),
       seats_per_endpoint_(configuration.seats_per_endpoint) {
+  seats_.erase(std::unique(seats_.begin(), seats_.end()), seats_.end());
   for (const Model& model : configuration.models) {
     for (const ModelVersion& version : model.versions) {
       versions_[{model.model, version.version}] = version.limits;
@@ -54,22 +55,30 @@
 
 std::optional<ShareBasis> SharePlan::BasisFor(const EndpointRecord& record,
                                               int seat) const {
+  ShareBasis ranked;
+  ranked.rank = SeatRank(record.endpoint, seats_, seats_per_endpoint_, seat);
+  ranked.seat_count =
+      std::min(static_cast<int>(seats_.size()), seats_per_endpoint_);
+  return BasisFor(record, ranked);
+}
+
+std::optional<ShareBasis> SharePlan::BasisFor(
+    const EndpointRecord& record,
+    const ShareBasis& same_seats) const {
   const EndpointLimits* limits = FindLimits(record);
   if (limits == nullptr) {
     return std::nullopt;
   }
-  const std::vector<int> ranked =
-      SeatsOfEndpoint(record.endpoint, seats_, seats_per_endpoint_);
-  ShareBasis basis;
+  ShareBasis basis = same_seats;
   basis.limits = *limits;
-  basis.seat_count = static_cast<int>(ranked.size());
-  const auto found = std::find(ranked.begin(), ranked.end(), seat);
-  if (found != ranked.end()) {
-    basis.rank = static_cast<int>(found - ranked.begin());
-  }
   return basis;
 }
 
+bool SharePlan::HasSameSeats(const SharePlan& other) const {
+  return seats_ == other.seats_ &&
+         seats_per_endpoint_ == other.seats_per_endpoint_;
+}
+
 const EndpointLimits* SharePlan::FindLimits(
     const EndpointRecord& record) const {
   if (record.kind == EndpointKind::kPlainService) {
@@ -81,9 +90,7 @@
 }
 
 bool operator==(const SharePlan& a, const SharePlan& b) {
-  return a.seats_ == b.seats_ &&
-         a.seats_per_endpoint_ == b.seats_per_endpoint_ &&
-         SameLimits(a.versions_, b.versions_) &&
+  return a.HasSameSeats(b) && SameLimits(a.versions_, b.versions_) &&
          SameLimits(a.services_, b.services_);
 }
 
--- a/src/routing/share_plan.h
+++ b/src/routing/share_plan.h
@@ -42,6 +42,11 @@
   // to it.
   std::optional<ShareBasis> BasisFor(const EndpointRecord& record,
                                      int seat) const;
+  // The same, given the basis by a plan with the same seats. Ranking again is
+  // by far the most expensive part.
+  std::optional<ShareBasis> BasisFor(const EndpointRecord& record,
+                                     const ShareBasis& same_seats) const;
+  bool HasSameSeats(const SharePlan& other) const;
 
   friend bool operator==(const SharePlan& a, const SharePlan& b);
   friend bool operator!=(const SharePlan& a, const SharePlan& b) {
@@ -51,6 +56,7 @@
  private:
   const EndpointLimits* FindLimits(const EndpointRecord& record) const;
 
+  // Distinct.
   std::vector<int> seats_;
   int seats_per_endpoint_ = 0;
   std::map<std::pair<ModelId, VersionId>, EndpointLimits> versions_;
--- a/tests/bench/detector_bench.cc
+++ b/tests/bench/detector_bench.cc
@@ -57,13 +57,15 @@
   std::size_t false_suspicions = 0;
   double detection_ms = 0;
   double worst_detection_ms = 0;
-  int runs = 0;
+  std::size_t hangs = 0;
 
   double FalsePerMillion() const {
     return 1e6 * static_cast<double>(false_suspicions) /
            static_cast<double>(std::max<std::size_t>(silences, 1));
   }
-  double MeanDetectionMs() const { return detection_ms / std::max(runs, 1); }
+  double MeanDetectionMs() const {
+    return detection_ms / static_cast<double>(std::max<std::size_t>(hangs, 1));
+  }
 };
 
 // The scores of one estimate, in the order of Traces().
@@ -167,11 +169,8 @@
                                std::size_t samples) {
   std::mt19937_64 random(seed);
   DelaySource next_delay = trace.make(signal.base_ms);
-  // The hang comes at a random place in the second half.
-  const std::size_t hang = std::uniform_int_distribution<std::size_t>(
-      samples / 2, samples - 1)(random);
   std::vector<double> delays;
-  for (std::size_t i = 0; i < hang; ++i) {
+  for (std::size_t i = 0; i < samples; ++i) {
     const double position =
         static_cast<double>(i) / static_cast<double>(samples);
     delays.push_back(next_delay(random, position));
@@ -180,7 +179,8 @@
 }
 
 // A suspicion cuts the silence short, so that the detector sees at most the
-// timeout.
+// timeout. The hang is placed after each silence in turn: a hang at one random
+// place for each seed gave means that depended on the bursts close to it.
 void Run(const Estimate& estimate,
          const Signal& signal,
          const std::vector<double>& delays,
@@ -191,12 +191,15 @@
     score->false_suspicions += delay > timeout ? 1 : 0;
     const double seen = std::min(delay, timeout);
     window.Add(std::chrono::microseconds(std::lround(seen * 1000)), kWindow);
+    if (window.size() == kWindow) {
+      const double detection = BoundedTimeout(estimate, window, signal);
+      score->detection_ms += detection;
+      score->worst_detection_ms =
+          std::max(score->worst_detection_ms, detection);
+      ++score->hangs;
+    }
   }
-  const double detection = BoundedTimeout(estimate, window, signal);
   score->silences += delays.size();
-  score->detection_ms += detection;
-  score->worst_detection_ms = std::max(score->worst_detection_ms, detection);
-  ++score->runs;
 }
 
 std::vector<Scores> RunAll(const std::vector<Estimate>& estimates,
--- a/tests/unit/routing/crash_quarantine_test.cc
+++ b/tests/unit/routing/crash_quarantine_test.cc
@@ -344,6 +344,7 @@
     REQUIRE(simulation.finished() == simulation.arrived());
     REQUIRE(simulation.PoisonIsRefused());
   }
+  // Otherwise the strict checks above would run too rarely.
   CHECK(lost_notices < 60);
   CHECK((lose_one || lost_notices == 0));
 }
--- a/tests/unit/routing/seat_share_test.cc
+++ b/tests/unit/routing/seat_share_test.cc
@@ -39,8 +39,8 @@
   for (int round = 0; round < 2000; ++round) {
     const EndpointId endpoint(fmt::format("e{}", round));
     const std::vector<int> seats = RandomSeats(random);
-    const std::vector<int> ranked =
-        SeatsOfEndpoint(endpoint, seats, Pick(random, 1, 6));
+    const int count = Pick(random, 1, 6);
+    const std::vector<int> ranked = SeatsOfEndpoint(endpoint, seats, count);
     REQUIRE(std::set<int>(ranked.begin(), ranked.end()).size() ==
             ranked.size());
     const int limit = Pick(random, 0, 50);
@@ -49,6 +49,9 @@
       sum += SeatShare(limit, ranked, seat);
       REQUIRE(SeatShare(limit, ranked, seat) <=
               SeatShare(limit + 1, ranked, seat));
+      const int rank = SeatRank(endpoint, seats, count, seat);
+      REQUIRE(SeatShare(limit, ranked, seat) ==
+              ShareOfRank(limit, static_cast<int>(ranked.size()), rank));
     }
     REQUIRE(sum == limit);
   }
