--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -81,8 +81,8 @@
 Core::~Core() = default;
 
 void Core::Handle(CoreMessage message) {
-  std::visit([this](auto&& typed) { On(std::move(typed)); },
-             std::move(message));
+  std::visit([this](auto& typed) { On(std::move(typed)); },
+             message);
   table_calls_.RunDeferred();
   object_calls_.RunDeferred();
   if (queue_changed_) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -49,7 +49,7 @@
   int seat = -1;
   // Identifies this life of the process.
   std::string incarnation;
-  std::size_t max_response_bytes = 16 * 1024 * 1024;
+  std::size_t max_response_bytes = std::size_t{16} * 1024 * 1024;
   std::chrono::milliseconds connect_timeout{1000};
   std::chrono::milliseconds configuration_poll_interval{2000};
   std::chrono::milliseconds probe_interval{1000};
