Use the model version names and metric names of the daemon

Cause: the daemon reports versions as model:version and reads metrics whose names end with num_requests_running and num_requests_waiting. Change: the same names here; a continuation counts the delivered tokens as prompt, and max_completion_tokens is understood. The token of the known prompt in the tests changes with the name of the version.

--- a/emulator/engine/engine_service.cc
+++ b/emulator/engine/engine_service.cc
@@ -291,8 +291,10 @@
 
 void EngineService::CompleteJob(BatchRequestId id) {
   const Job& job = jobs_.at(id);
+  // The delivered part of the answer counts as prompt.
+  const std::size_t prefix_tokens = history_.Find(job.sequence).first_token;
   const CompletionUsage usage{
-      CountPromptTokens(job.request.prompt + job.request.prefix), job.sent};
+      CountPromptTokens(job.request.prompt) + prefix_tokens, job.sent};
   const std::string reason = job.request.max_tokens ? "length" : "stop";
   if (job.request.stream) {
     server().SendBytes(job.exchange, job.format.FinalChunks(reason, usage));
@@ -363,10 +365,10 @@
   return fmt::format(
       "# TYPE process_start_time_seconds gauge\n"
       "process_start_time_seconds {:.3f}\n"
-      "# TYPE engine_requests_running gauge\n"
-      "engine_requests_running {}\n"
-      "# TYPE engine_requests_waiting gauge\n"
-      "engine_requests_waiting {}\n"
+      "# TYPE engine_num_requests_running gauge\n"
+      "engine_num_requests_running {}\n"
+      "# TYPE engine_num_requests_waiting gauge\n"
+      "engine_num_requests_waiting {}\n"
       "# TYPE engine_tokens_total counter\n"
       "engine_tokens_total {}\n",
       static_cast<double>(history_.life().start_ms) / 1000, load.running,
--- a/emulator/load/answer_check.h
+++ b/emulator/load/answer_check.h
@@ -34,7 +34,7 @@
 
   void OnBytes(std::string_view bytes, SteadyTime now);
 
-  // After the end of the response. `version_label` is "model/version".
+  // After the end of the response. `version_label` is "model:version".
   AnswerResult Finish(int http_status, const std::string& version_label);
 
  private:
--- a/emulator/load/load_runner.cc
+++ b/emulator/load/load_runner.cc
@@ -238,7 +238,7 @@
   }
   // A header without a model names a version of the requested model.
   const bool complete = transfer.version.empty() ||
-                        transfer.version.find('/') != std::string::npos;
+                        transfer.version.find(':') != std::string::npos;
   return complete ? transfer.version : VersionLabel(model, transfer.version);
 }
 
--- a/emulator/tokens/answer.cc
+++ b/emulator/tokens/answer.cc
@@ -21,7 +21,7 @@
 }  // namespace
 
 std::string VersionLabel(const std::string& model, const std::string& version) {
-  return model + "/" + version;
+  return model + ":" + version;
 }
 
 Answer::Answer(std::string version_label, std::string prompt)
--- a/emulator/tokens/answer.h
+++ b/emulator/tokens/answer.h
@@ -13,7 +13,8 @@
 
 enum class AnswerQuality { kGood, kBad };
 
-// "model/version": the name of a version in the token function.
+// "model:version": the name of a version in the token function and in the
+// header X-Model-Version.
 std::string VersionLabel(const std::string& model, const std::string& version);
 
 // The answer of one version to one prompt.
--- a/emulator/tokens/chat_request.cc
+++ b/emulator/tokens/chat_request.cc
@@ -23,16 +23,26 @@
   return role + ": " + content + "\n";
 }
 
+// Nothing if the limit is absent or null.
+std::optional<std::size_t> ReadLimit(const Json& json, const char* name) {
+  const Json limit = json.value(name, Json());
+  if (limit.is_null()) {
+    return std::nullopt;
+  }
+  const auto tokens = limit.get<long long>();
+  if (tokens < 1) {
+    throw ChatRequestError(std::string(name) + " must be at least 1");
+  }
+  return static_cast<std::size_t>(tokens);
+}
+
 ChatRequest ReadChatRequest(const Json& json) {
   ChatRequest request;
   request.model = json.at("model");
   request.stream = json.value("stream", false);
-  if (json.contains("max_tokens") && !json["max_tokens"].is_null()) {
-    const auto max_tokens = json["max_tokens"].get<long long>();
-    if (max_tokens < 1) {
-      throw ChatRequestError("max_tokens must be at least 1");
-    }
-    request.max_tokens = static_cast<std::size_t>(max_tokens);
+  request.max_tokens = ReadLimit(json, "max_tokens");
+  if (!request.max_tokens) {
+    request.max_tokens = ReadLimit(json, "max_completion_tokens");
   }
   const Json& messages = json.at("messages");
   if (!messages.is_array() || messages.empty()) {
--- a/emulator/tokens/chat_request.h
+++ b/emulator/tokens/chat_request.h
@@ -21,7 +21,8 @@
 struct ChatRequest {
   std::string model;
   bool stream = false;
-  // Bound on the tokens of this answer, without those of `prefix`.
+  // max_tokens or max_completion_tokens: bound on the tokens of this answer,
+  // without those of `prefix`.
   std::optional<std::size_t> max_tokens;
   // All messages as "role: content\n", without the prefix.
   std::string prompt;
