Add the job ledger

An accepted job must survive its instance and have one result. A lease counts from when others first see the row that the last renewal wrote, on their own clock; the holder counts from when it sent that renewal and stops a tenth early. Finish is conditional on the version and the claim token of the row, and the result object has the fence in its name.

A job costs three table writes and one for each renewal.

--- a/src/ledger/job_ledger.h
+++ b/src/ledger/job_ledger.h
@@ -11,23 +11,11 @@
 #include <vector>
 
 #include "src/ledger/charge.h"
-#include "src/ledger/execution_ledger.h"
+#include "src/ledger/job_rows.h"
 #include "src/ledger/table_calls.h"
 
 namespace filbertshift {
 
-// The request of a job, enough to run it on any instance.
-struct JobRequest {
-  JobId job;
-  AccountId account;
-  std::string quality_class;
-  std::vector<HttpHeader> headers;
-  std::string target;
-  std::string body;
-};
-
-enum class JobState { kQueued, kRunning, kDone, kFailed };
-
 struct JobStatus {
   bool known = false;
   // False: the table service did not answer.
@@ -54,9 +42,14 @@
   std::size_t max_running = 8;
 };
 
+// Invariants: a job is finished by at most one claim. A claim ends on this
+// process's clock before any other instance may claim the job: others count the
+// lease from when they first see the row that the last renewal wrote.
 class JobLedger {
  public:
   // `durable` is false if the job is not stored; it is then certainly not run.
+  // While the table service leaves open whether the job is stored, the write
+  // is repeated and the callback waits.
   using AcceptCallback = std::function<void(bool durable)>;
   using StatusCallback = std::function<void(const JobStatus&)>;
   using ClaimCallback = std::function<void(const JobClaim&)>;
@@ -69,7 +62,7 @@
             Random& random,
             EventLog& log);
 
-  // Stores the body, then the row.
+  // Stores the body, then the row. Job ids must be unique over all instances.
   void Accept(const JobRequest& request, AcceptCallback callback);
   void Status(const JobId& job, StatusCallback callback);
 
@@ -78,8 +71,9 @@
   // when the lease of a claimed job was lost; its run must be cancelled.
   void SetHandlers(ClaimCallback on_claim, LostCallback on_lost);
 
-  // Stores the answer and the charge in one transaction, conditional on the
-  // fence. Retries while the lease holds.
+  // Stores the answer as an object, then state and charge in one write that is
+  // conditional on the claim. Retries while the lease holds; `on_lost` tells
+  // when it does not. A charge with an empty id is left out.
   void Finish(const JobId& job,
               JobState state,
               const StoredAnswer& answer,
@@ -87,7 +81,99 @@
 
   // Scans for work, renews leases. With `take_new` false it only renews.
   void Tick(TimePoint now, bool take_new);
-  std::size_t running() const;
+  std::size_t running() const { return claimed_.size(); }
+
+ private:
+  struct Accepting {
+    JobRequest request;
+    AcceptCallback callback;
+    // True if a write may have taken effect or may still do so.
+    bool may_be_written = false;
+    bool in_flight = false;
+    TimePoint next_try;
+  };
+
+  // A version of a running row that another instance wrote.
+  struct Observation {
+    std::uint64_t row_version = 0;
+    TimePoint first_seen;
+  };
+
+  struct Claimed {
+    JobClaim claim;
+    JobRow row;
+    std::uint64_t row_version = 0;
+    // True once `on_claim` was called.
+    bool started = false;
+    bool finishing = false;
+    // Object to store before the row; empty if it is stored.
+    std::string result_object;
+    std::string result_body;
+    // Finished row; written when the result is stored.
+    JobRow finished_row;
+
+    bool in_flight = false;
+    TimePoint renew_at;
+    TimePoint next_try;
+  };
+
+  void SubmitAccept(std::uint64_t id);
+  void OnAcceptWritten(std::uint64_t id, const TableReply& reply);
+  void EndAccept(std::uint64_t id, bool durable);
+
+  void Scan();
+  void OnScanned(const TableReply& reply);
+  // True if the row is queued, or its lease has run out as seen from here.
+  bool IsClaimable(const TableRow& row, const JobRow& job);
+  void Claim(const TableRow& row, JobRow job);
+  void OnClaimWritten(const JobRow& row,
+                      std::uint64_t row_version,
+                      TimePoint sent,
+                      const TableReply& reply);
+  void ReadClaim(const JobRow& row, TimePoint sent);
+  void AddClaim(const JobRow& row, std::uint64_t row_version, TimePoint sent);
+  void LoadRequest(const JobId& job);
+
+  void TickClaimed(TimePoint now);
+  void Renew(const JobId& job);
+  void WriteClaimed(const JobId& job, const JobRow& row);
+  void OnClaimedWritten(const JobId& job,
+                        const JobRow& row,
+                        TimePoint sent,
+                        const TableReply& reply);
+  void ReadClaimed(const JobId& job, const JobRow& written, TimePoint sent);
+  void OnClaimedRead(const JobId& job,
+                     const JobRow& written,
+                     TimePoint sent,
+                     const TableReply& reply);
+  void Confirm(const JobId& job,
+               const JobRow& written,
+               std::uint64_t row_version,
+               TimePoint sent);
+  void PutResult(const JobId& job);
+  void RetryLater(const JobId& job);
+  void Lose(const JobId& job);
+  // nullptr if the claim was lost meanwhile.
+  Claimed* FindClaimed(const JobId& job, const std::string& claim);
+
+  const JobLedgerOptions options_;
+  TableCalls& table_;
+  ObjectCalls& objects_;
+  const Clock& clock_;
+  Random& random_;
+  EventLog& log_;
+  ClaimCallback on_claim_;
+  LostCallback on_lost_;
+  std::uint64_t next_id_ = 1;
+  std::map<std::uint64_t, Accepting> accepting_;
+  std::map<JobId, Claimed> claimed_;
+  std::map<JobId, Observation> observed_;
+  // Claims that are being written.
+  std::size_t claiming_ = 0;
+  bool scanning_ = false;
+  TimePoint next_scan_;
+  // Last key of the page before; empty at the start of a pass.
+  std::string scan_after_;
 };
 
 }  // namespace filbertshift
