--- a/src/ledger/charge.cc
+++ b/src/ledger/charge.cc
@@ -37,4 +37,28 @@
   }
 }
 
+ChargeTexts ChargesFromRow(const std::string& value) {
+  try {
+    ChargeTexts charges;
+    const Json json = Json::parse(value);
+    for (const Json& charge : json.at("charges")) {
+      const std::string text = charge.dump();
+      charges[ChargeFromJson(text).id] = text;
+    }
+    return charges;
+  } catch (const Json::exception& error) {
+    throw std::invalid_argument(std::string("not a row of charges: ") +
+                                error.what());
+  }
+}
+
+std::string ChargesToRow(const ChargeTexts& charges) {
+  Json list = Json::array();
+  for (const auto& [id, text] : charges) {
+    list.push_back(Json::parse(text));
+  }
+  const Json value = {{"charges", list}};
+  return value.dump();
+}
+
 }  // namespace filbertshift
--- a/src/ledger/charge.h
+++ b/src/ledger/charge.h
@@ -3,6 +3,7 @@
 #ifndef SRC_LEDGER_CHARGE_H_
 #define SRC_LEDGER_CHARGE_H_
 
+#include <map>
 #include <string>
 
 #include "src/common/common.h"
@@ -26,6 +27,14 @@
 // Throws std::invalid_argument for text that is not a charge.
 Charge ChargeFromJson(const std::string& text);
 
+// JSON text of each charge by charge id.
+using ChargeTexts = std::map<std::string, std::string>;
+
+// The value of a batch row. Each text must be a charge.
+std::string ChargesToRow(const ChargeTexts& charges);
+// Throws std::invalid_argument for text that is not a batch row.
+ChargeTexts ChargesFromRow(const std::string& value);
+
 }  // namespace filbertshift
 
 #endif  // SRC_LEDGER_CHARGE_H_
--- a/src/ledger/charge_ledger.cc
+++ b/src/ledger/charge_ledger.cc
@@ -4,15 +4,12 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <utility>
 
 namespace filbertshift {
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr char kKeyPrefix[] = "charges/";
 // Keeps a row below the 400 KB that the table service allows, with 300 bytes
 // for each charge.
@@ -26,26 +23,6 @@
 // of the take-over delay: the message that the batch is stored may be lost.
 constexpr int kSilenceFactor = 6;
 
-// Throws std::invalid_argument or nlohmann::json::exception.
-std::map<std::string, std::string> ParseRow(const std::string& value) {
-  std::map<std::string, std::string> charges;
-  const Json json = Json::parse(value);
-  for (const Json& charge : json.at("charges")) {
-    const std::string text = charge.dump();
-    charges[ChargeFromJson(text).id] = text;
-  }
-  return charges;
-}
-
-std::string RowValue(const std::map<std::string, std::string>& charges) {
-  Json list = Json::array();
-  for (const auto& [id, text] : charges) {
-    list.push_back(Json::parse(text));
-  }
-  const Json value = {{"charges", list}};
-  return value.dump();
-}
-
 std::uint64_t Rank(const std::string& key, const InstanceId& peer) {
   const std::string text = key + "|" + peer.value();
   return XXH3_64bits(text.data(), text.size());
@@ -338,7 +315,7 @@
   TableWrite write;
   write.key = key;
   write.expected_version = expected_version;
-  write.value = RowValue(merged);
+  write.value = ChargesToRow(merged);
   TableTransaction transaction;
   transaction.token = fmt::format(
       "{:016x}{:016x}", XXH3_64bits(write.value.data(), write.value.size()),
@@ -397,10 +374,10 @@
   std::uint64_t version = 0;
   try {
     if (!reply.rows.empty()) {
-      stored = ParseRow(reply.rows.front().value);
+      stored = ChargesFromRow(reply.rows.front().value);
       version = reply.rows.front().version;
     }
-  } catch (const std::exception& error) {
+  } catch (const std::invalid_argument& error) {
     // Overwriting the row could lose charges of others.
     log_.Write(EventId::kInvariantViolated, key + ": " + error.what());
     RetryLater(key);
--- a/src/ledger/charge_ledger.h
+++ b/src/ledger/charge_ledger.h
@@ -68,9 +68,6 @@
   }
 
  private:
-  // JSON text of each charge by charge id.
-  using ChargeTexts = std::map<std::string, std::string>;
-
   struct Batch {
     ChargeTexts charges;
     // Own batches take charges until they are closed.
--- a/src/ledger/configuration_ledger.cc
+++ b/src/ledger/configuration_ledger.cc
@@ -18,7 +18,6 @@
     : poll_interval_(poll_interval),
       table_(table),
       peers_(peers),
-      clock_(clock),
       log_(log),
       parser_(std::move(parser)),
       next_poll_(clock.Now()),
--- a/src/ledger/configuration_ledger.h
+++ b/src/ledger/configuration_ledger.h
@@ -71,7 +71,6 @@
   const std::chrono::milliseconds poll_interval_;
   TableCalls& table_;
   PeerPort& peers_;
-  const Clock& clock_;
   EventLog& log_;
   const SectionParser parser_;
   ChangeCallback on_change_;
--- a/src/ledger/job_ledger.cc
+++ b/src/ledger/job_ledger.cc
@@ -11,36 +11,6 @@
 constexpr std::chrono::milliseconds kRetryDelay{300};
 // Rows in one page of a scan.
 constexpr int kScanPage = 100;
-// The holder of a lease stops this share of it early, for clocks that run at
-// different speeds.
-constexpr int kLeaseMarginDivisor = 10;
-// Renewals in one lease, so that two may fail.
-constexpr int kRenewalsInLease = 3;
-
-TableTransaction MakeTransaction(Random& random,
-                                 const JobRow& row,
-                                 std::uint64_t expected_version) {
-  TableTransaction transaction;
-  transaction.token = RandomToken(random);
-  TableWrite write;
-  write.key = JobKey(row.job);
-  write.expected_version = expected_version;
-  write.value = JobRowToJson(row);
-  transaction.writes.push_back(std::move(write));
-  return transaction;
-}
-
-// The row in the reply of a read; a default row if there is none or it is not
-// valid, which matches no claim.
-JobRow ReadRow(const TableReply& reply) {
-  try {
-    return reply.rows.empty() ? JobRow()
-                              : JobRowFromJson(reply.rows.front().value);
-  } catch (const std::invalid_argument&) {
-    return JobRow();
-  }
-}
-
 }  // namespace
 
 JobLedger::JobLedger(JobLedgerOptions options,
@@ -55,11 +25,11 @@
       clock_(clock),
       random_(random),
       log_(log),
+      holder_(options_, table, objects, clock, random, log),
       next_scan_(clock.Now()) {}
 
 void JobLedger::SetHandlers(ClaimCallback on_claim, LostCallback on_lost) {
-  on_claim_ = std::move(on_claim);
-  on_lost_ = std::move(on_lost);
+  holder_.SetHandlers(std::move(on_claim), std::move(on_lost));
 }
 
 void JobLedger::Accept(const JobRequest& request, AcceptCallback callback) {
@@ -86,7 +56,7 @@
   row.account = accepting.request.account;
   row.quality_class = accepting.request.quality_class;
   table_.Submit(
-      MakeTransaction(random_, row, 0),
+      MakeJobTransaction(random_, row, 0),
       [this, id](const TableReply& reply) { OnAcceptWritten(id, reply); });
 }
 
@@ -126,7 +96,7 @@
   table_.Get({JobKey(job)}, [this, callback](const TableReply& reply) {
     JobStatus status;
     status.available = reply.outcome == TableOutcome::kOk;
-    const JobRow row = ReadRow(reply);
+    const JobRow row = FindJobRow(reply);
     status.known = status.available && !row.job.empty();
     status.state = row.state;
     status.account = row.account;
@@ -150,7 +120,7 @@
       SubmitAccept(id);
     }
   }
-  TickClaimed(now);
+  holder_.Tick(now);
   if (take_new && !scanning_ && next_scan_ <= now) {
     Scan();
   }
@@ -177,7 +147,7 @@
     try {
       const JobRow job = JobRowFromJson(row.value);
       if (IsClaimable(row, job) &&
-          claimed_.size() + claiming_ < options_.max_running) {
+          holder_.size() + claiming_ < options_.max_running) {
         Claim(row, job);
       }
     } catch (const std::invalid_argument& error) {
@@ -190,7 +160,7 @@
   if (job.state == JobState::kQueued) {
     return true;
   }
-  if (job.state != JobState::kRunning || claimed_.count(job.job) > 0) {
+  if (job.state != JobState::kRunning || holder_.Holds(job.job)) {
     observed_.erase(job.job);
     return false;
   }
@@ -214,7 +184,7 @@
   job.lease_until = std::chrono::duration_cast<std::chrono::milliseconds>(
       (clock_.WallNow() + options_.lease).time_since_epoch());
   const std::uint64_t version = row.version;
-  table_.Submit(MakeTransaction(random_, job, version),
+  table_.Submit(MakeJobTransaction(random_, job, version),
                 [this, job, version, sent](const TableReply& reply) {
                   OnClaimWritten(job, version + 1, sent, reply);
                 });
@@ -230,7 +200,7 @@
   }
   --claiming_;
   if (reply.outcome == TableOutcome::kOk) {
-    AddClaim(row, row_version, sent);
+    holder_.Add(row, row_version, sent);
   }
 }
 
@@ -240,255 +210,17 @@
   table_.Get({JobKey(row.job)}, [this, row, sent](const TableReply& reply) {
     --claiming_;
     if (reply.outcome == TableOutcome::kOk &&
-        ReadRow(reply).claim == row.claim) {
-      AddClaim(row, reply.rows.front().version, sent);
+        FindJobRow(reply).claim == row.claim) {
+      holder_.Add(row, reply.rows.front().version, sent);
     }
   });
 }
 
-void JobLedger::AddClaim(const JobRow& row,
-                         std::uint64_t row_version,
-                         TimePoint sent) {
-  Claimed& claimed = claimed_[row.job];
-  claimed.row = row;
-  claimed.row_version = row_version;
-  claimed.claim.request.job = row.job;
-  claimed.claim.fence = row.fence;
-  claimed.claim.lease_until =
-      sent + options_.lease - options_.lease / kLeaseMarginDivisor;
-  claimed.renew_at = sent + options_.lease / kRenewalsInLease;
-  log_.Write(EventId::kJobClaimed,
-             row.job.value() + " fence " + std::to_string(row.fence));
-  if (clock_.Now() >= claimed.claim.lease_until) {
-    Lose(row.job);
-    return;
-  }
-  LoadRequest(row.job);
-}
-
-void JobLedger::LoadRequest(const JobId& job) {
-  Claimed& claimed = claimed_.at(job);
-  claimed.in_flight = true;
-  const std::string claim = claimed.row.claim;
-  objects_.Get(RequestObject(job), [this, job,
-                                    claim](const ObjectReply& reply) {
-    Claimed* found = FindClaimed(job, claim);
-    if (found == nullptr) {
-      return;
-    }
-    found->in_flight = false;
-    if (reply.outcome == ObjectOutcome::kUnavailable) {
-      RetryLater(job);
-      return;
-    }
-    found->started = true;
-    try {
-      found->claim.request = JobRequestFromBytes(reply.bytes);
-    } catch (const std::invalid_argument&) {
-      Finish(job, JobState::kFailed,
-             {500, "text/plain", "the stored request is missing or invalid"},
-             Charge());
-      return;
-    }
-    on_claim_(found->claim);
-  });
-}
-
 void JobLedger::Finish(const JobId& job,
                        JobState state,
                        const StoredAnswer& answer,
                        const Charge& charge) {
-  auto found = claimed_.find(job);
-  if (found == claimed_.end()) {
-    return;
-  }
-  Claimed& claimed = found->second;
-  claimed.finishing = true;
-  claimed.result_object = ResultObject(job, claimed.claim.fence);
-  claimed.result_body = answer.body;
-  claimed.finished_row = claimed.row;
-  claimed.finished_row.state = state;
-  claimed.finished_row.answer = answer;
-  claimed.finished_row.answer.body.clear();
-  claimed.finished_row.result = claimed.result_object;
-  if (!charge.id.empty()) {
-    claimed.finished_row.charge = charge;
-  }
-  if (!claimed.in_flight) {
-    PutResult(job);
-  }
-}
-
-void JobLedger::TickClaimed(TimePoint now) {
-  std::vector<JobId> jobs;
-  for (const auto& [job, claimed] : claimed_) {
-    jobs.push_back(job);
-  }
-  for (const JobId& job : jobs) {
-    Claimed& claimed = claimed_.at(job);
-    if (now >= claimed.claim.lease_until) {
-      Lose(job);
-    } else if (claimed.in_flight || claimed.next_try > now) {
-      continue;
-    } else if (claimed.renew_at <= now) {
-      Renew(job);
-    } else if (claimed.finishing) {
-      PutResult(job);
-    } else if (!claimed.started) {
-      LoadRequest(job);
-    }
-  }
-}
-
-void JobLedger::PutResult(const JobId& job) {
-  Claimed& claimed = claimed_.at(job);
-  if (claimed.result_object.empty()) {
-    WriteClaimed(job, claimed.finished_row);
-    return;
-  }
-  claimed.in_flight = true;
-  const std::string claim = claimed.row.claim;
-  objects_.Put(claimed.result_object, claimed.result_body,
-               [this, job, claim](const ObjectReply& reply) {
-                 Claimed* found = FindClaimed(job, claim);
-                 if (found == nullptr) {
-                   return;
-                 }
-                 found->in_flight = false;
-                 if (reply.outcome != ObjectOutcome::kOk) {
-                   RetryLater(job);
-                   return;
-                 }
-                 found->result_object.clear();
-                 WriteClaimed(job, found->finished_row);
-               });
-}
-
-void JobLedger::Renew(const JobId& job) {
-  Claimed& claimed = claimed_.at(job);
-  ++claimed.row.renewal;
-  claimed.row.lease_until =
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          (clock_.WallNow() + options_.lease).time_since_epoch());
-  WriteClaimed(job, claimed.row);
-}
-
-void JobLedger::WriteClaimed(const JobId& job, const JobRow& row) {
-  Claimed& claimed = claimed_.at(job);
-  claimed.in_flight = true;
-  const TimePoint sent = clock_.Now();
-  table_.Submit(MakeTransaction(random_, row, claimed.row_version),
-                [this, job, row, sent](const TableReply& reply) {
-                  OnClaimedWritten(job, row, sent, reply);
-                });
-}
-
-void JobLedger::OnClaimedWritten(const JobId& job,
-                                 const JobRow& row,
-                                 TimePoint sent,
-                                 const TableReply& reply) {
-  Claimed* claimed = FindClaimed(job, row.claim);
-  if (claimed == nullptr) {
-    return;
-  }
-  switch (reply.outcome) {
-    case TableOutcome::kOk:
-      Confirm(job, row, claimed->row_version + 1, sent);
-      return;
-    case TableOutcome::kNotApplied:
-      RetryLater(job);
-      return;
-    case TableOutcome::kConflict:
-    case TableOutcome::kUnknown:
-      ReadClaimed(job, row, sent);
-      return;
-  }
-}
-
-void JobLedger::ReadClaimed(const JobId& job,
-                            const JobRow& written,
-                            TimePoint sent) {
-  table_.Get({JobKey(job)},
-             [this, job, written, sent](const TableReply& reply) {
-               OnClaimedRead(job, written, sent, reply);
-             });
-}
-
-void JobLedger::OnClaimedRead(const JobId& job,
-                              const JobRow& written,
-                              TimePoint sent,
-                              const TableReply& reply) {
-  Claimed* claimed = FindClaimed(job, written.claim);
-  if (claimed == nullptr) {
-    return;
-  }
-  if (reply.outcome != TableOutcome::kOk) {
-    RetryLater(job);
-    return;
-  }
-  const JobRow stored = ReadRow(reply);
-  if (stored.claim != written.claim) {
-    Lose(job);
-    return;
-  }
-  const std::uint64_t version = reply.rows.front().version;
-  // A finish whose reply was lost has taken effect; a renewal after it would
-  // open the job again.
-  if (stored.state != JobState::kRunning) {
-    Confirm(job, stored, version, sent);
-    return;
-  }
-  // An earlier renewal may have taken effect late; only this one's number
-  // proves that the lease counts from when this one was sent.
-  if (stored.state == written.state && stored.renewal == written.renewal) {
-    Confirm(job, written, version, sent);
-    return;
-  }
-  claimed->row_version = version;
-  RetryLater(job);
-}
-
-void JobLedger::Confirm(const JobId& job,
-                        const JobRow& written,
-                        std::uint64_t row_version,
-                        TimePoint sent) {
-  Claimed& claimed = claimed_.at(job);
-  if (written.state != JobState::kRunning) {
-    log_.Write(EventId::kJobFinished,
-               job.value() + " fence " + std::to_string(written.fence));
-    claimed_.erase(job);
-    return;
-  }
-  claimed.in_flight = false;
-  claimed.row_version = row_version;
-  claimed.claim.lease_until =
-      sent + options_.lease - options_.lease / kLeaseMarginDivisor;
-  claimed.renew_at = sent + options_.lease / kRenewalsInLease;
-  if (claimed.finishing) {
-    PutResult(job);
-  }
-}
-
-void JobLedger::RetryLater(const JobId& job) {
-  Claimed& claimed = claimed_.at(job);
-  claimed.in_flight = false;
-  claimed.next_try = clock_.Now() + kRetryDelay;
-}
-
-void JobLedger::Lose(const JobId& job) {
-  const bool started = claimed_.at(job).started;
-  claimed_.erase(job);
-  if (started && on_lost_) {
-    on_lost_(job);
-  }
-}
-
-JobLedger::Claimed* JobLedger::FindClaimed(const JobId& job,
-                                           const std::string& claim) {
-  auto found = claimed_.find(job);
-  return found == claimed_.end() || found->second.row.claim != claim
-             ? nullptr
-             : &found->second;
+  holder_.Finish(job, state, answer, charge);
 }
 
 }  // namespace filbertshift
--- a/src/ledger/job_ledger.h
+++ b/src/ledger/job_ledger.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "src/ledger/charge.h"
+#include "src/ledger/job_holder.h"
 #include "src/ledger/job_rows.h"
 #include "src/ledger/table_calls.h"
 
@@ -26,25 +27,6 @@
   StoredAnswer answer;
 };
 
-// The right to run a job until `lease_until` on this process's clock. `fence`
-// grows with each claim of the job.
-struct JobClaim {
-  JobRequest request;
-  std::uint64_t fence = 0;
-  TimePoint lease_until;
-};
-
-struct JobLedgerOptions {
-  std::string owner;
-  std::chrono::milliseconds lease{10000};
-  std::chrono::milliseconds scan_interval{2000};
-  // Jobs that this instance runs at a time.
-  std::size_t max_running = 8;
-};
-
-// Invariants: a job is finished by at most one claim. A claim ends on this
-// process's clock before any other instance may claim the job: others count the
-// lease from when they first see the row that the last renewal wrote.
 class JobLedger {
  public:
   // `durable` is false if the job is not stored; it is then certainly not run.
@@ -52,8 +34,8 @@
   // is repeated and the callback waits.
   using AcceptCallback = std::function<void(bool durable)>;
   using StatusCallback = std::function<void(const JobStatus&)>;
-  using ClaimCallback = std::function<void(const JobClaim&)>;
-  using LostCallback = std::function<void(const JobId&)>;
+  using ClaimCallback = JobHolder::ClaimCallback;
+  using LostCallback = JobHolder::LostCallback;
 
   JobLedger(JobLedgerOptions options,
             TableCalls& table,
@@ -81,7 +63,7 @@
 
   // Scans for work, renews leases. With `take_new` false it only renews.
   void Tick(TimePoint now, bool take_new);
-  std::size_t running() const { return claimed_.size(); }
+  std::size_t running() const { return holder_.size(); }
 
  private:
   struct Accepting {
@@ -99,24 +81,6 @@
     TimePoint first_seen;
   };
 
-  struct Claimed {
-    JobClaim claim;
-    JobRow row;
-    std::uint64_t row_version = 0;
-    // True once `on_claim` was called.
-    bool started = false;
-    bool finishing = false;
-    // Object to store before the row; empty if it is stored.
-    std::string result_object;
-    std::string result_body;
-    // Finished row; written when the result is stored.
-    JobRow finished_row;
-
-    bool in_flight = false;
-    TimePoint renew_at;
-    TimePoint next_try;
-  };
-
   void SubmitAccept(std::uint64_t id);
   void OnAcceptWritten(std::uint64_t id, const TableReply& reply);
   void EndAccept(std::uint64_t id, bool durable);
@@ -131,42 +95,15 @@
                       TimePoint sent,
                       const TableReply& reply);
   void ReadClaim(const JobRow& row, TimePoint sent);
-  void AddClaim(const JobRow& row, std::uint64_t row_version, TimePoint sent);
-  void LoadRequest(const JobId& job);
-
-  void TickClaimed(TimePoint now);
-  void Renew(const JobId& job);
-  void WriteClaimed(const JobId& job, const JobRow& row);
-  void OnClaimedWritten(const JobId& job,
-                        const JobRow& row,
-                        TimePoint sent,
-                        const TableReply& reply);
-  void ReadClaimed(const JobId& job, const JobRow& written, TimePoint sent);
-  void OnClaimedRead(const JobId& job,
-                     const JobRow& written,
-                     TimePoint sent,
-                     const TableReply& reply);
-  void Confirm(const JobId& job,
-               const JobRow& written,
-               std::uint64_t row_version,
-               TimePoint sent);
-  void PutResult(const JobId& job);
-  void RetryLater(const JobId& job);
-  void Lose(const JobId& job);
-  // nullptr if the claim was lost meanwhile.
-  Claimed* FindClaimed(const JobId& job, const std::string& claim);
-
   const JobLedgerOptions options_;
   TableCalls& table_;
   ObjectCalls& objects_;
   const Clock& clock_;
   Random& random_;
   EventLog& log_;
-  ClaimCallback on_claim_;
-  LostCallback on_lost_;
   std::uint64_t next_id_ = 1;
+  JobHolder holder_;
   std::map<std::uint64_t, Accepting> accepting_;
-  std::map<JobId, Claimed> claimed_;
   std::map<JobId, Observation> observed_;
   // Claims that are being written.
   std::size_t claiming_ = 0;
--- a/src/ledger/job_rows.cc
+++ b/src/ledger/job_rows.cc
@@ -136,4 +136,26 @@
   }
 }
 
+TableTransaction MakeJobTransaction(Random& random,
+                                    const JobRow& row,
+                                    std::uint64_t expected_version) {
+  TableTransaction transaction;
+  transaction.token = RandomToken(random);
+  TableWrite write;
+  write.key = JobKey(row.job);
+  write.expected_version = expected_version;
+  write.value = JobRowToJson(row);
+  transaction.writes.push_back(std::move(write));
+  return transaction;
+}
+
+JobRow FindJobRow(const TableReply& reply) {
+  try {
+    return reply.rows.empty() ? JobRow()
+                              : JobRowFromJson(reply.rows.front().value);
+  } catch (const std::invalid_argument&) {
+    return JobRow();
+  }
+}
+
 }  // namespace filbertshift
--- a/src/ledger/job_rows.h
+++ b/src/ledger/job_rows.h
@@ -63,6 +63,15 @@
 // Throws std::invalid_argument for bytes that are not a request.
 JobRequest JobRequestFromBytes(const std::string& bytes);
 
+// The row in the reply of a read; a default row if there is none or it is not
+// valid, which matches no claim.
+JobRow FindJobRow(const TableReply& reply);
+
+// Writes the row on condition of its version.
+TableTransaction MakeJobTransaction(Random& random,
+                                    const JobRow& row,
+                                    std::uint64_t expected_version);
+
 }  // namespace filbertshift
 
 #endif  // SRC_LEDGER_JOB_ROWS_H_
