--- a/tests/unit/ledger/charge_ledger_test.cc
+++ b/tests/unit/ledger/charge_ledger_test.cc
@@ -271,6 +271,25 @@
   CHECK(world.store.rows.size() == 1);
 }
 
+// Guards against a peer that replaces the charges which another peer has
+// written to the same row.
+TEST_CASE("two peers with different copies write one row", "[ledger]") {
+  World world(5);
+  for (int i = 1; i < 3; ++i) {
+    Charge charge;
+    charge.id = "c" + std::to_string(i);
+    PeerChargeReplica replica;
+    replica.batch = "charges/inc0/1";
+    replica.charges = {ChargeToJson(charge)};
+    world.instances[i]->ledger.OnPeerMessage(NameOf(0), replica);
+  }
+  world.Lose(0);
+  world.Settle(10);
+  CHECK(world.StoredCharges() ==
+        std::map<std::string, int>{{"c1", 1}, {"c2", 1}});
+  CHECK(world.store.rows.size() == 1);
+}
+
 struct AddedCharge {
   int owner = 0;
   TimePoint added;
