--- a/tests/bench/routing_bench.cc
+++ b/tests/bench/routing_bench.cc
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -276,6 +277,37 @@
       bench.ApplyChangedConfiguration() / 1000, probe_time / 1000, probes);
 }
 
+// How evenly seats are spread over endpoints, and for how many pairs of seat
+// and version the seat has no endpoint at all.
+void MeasureSplit(const Setup& setup, int seats_per_endpoint) {
+  std::vector<int> seats;
+  for (int seat = 0; seat < setup.seats; ++seat) {
+    seats.push_back(seat);
+  }
+  std::vector<std::vector<int>> endpoints(seats.size());
+  for (std::vector<int>& by_version : endpoints) {
+    by_version.assign(static_cast<std::size_t>(setup.versions), 0);
+  }
+  const std::vector<EndpointRecord> records = MakeRecords(setup);
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    for (int seat :
+         SeatsOfEndpoint(records[i].endpoint, seats, seats_per_endpoint)) {
+      ++endpoints[seat][i % static_cast<std::size_t>(setup.versions)];
+    }
+  }
+  std::vector<int> totals;
+  int without = 0;
+  for (const std::vector<int>& by_version : endpoints) {
+    totals.push_back(std::accumulate(by_version.begin(), by_version.end(), 0));
+    without +=
+        static_cast<int>(std::count(by_version.begin(), by_version.end(), 0));
+  }
+  const auto [least, most] = std::minmax_element(totals.begin(), totals.end());
+  fmt::print("{:9} {:8} {:5} {:18} {:6} {:6} {:9.1f} %\n", setup.endpoints,
+             setup.versions, setup.seats, seats_per_endpoint, *least, *most,
+             100.0 * without / (setup.seats * setup.versions));
+}
+
 // A full class of requests that cannot start, and one that can.
 void MeasureQueue(int waiting) {
   AdmissionQueue queue;
@@ -327,6 +359,14 @@
   // The installation of today and the target size.
   filbertshift::Measure({20, 2, 4}, ChoicePolicy::kCostAware, count);
   filbertshift::Measure({2300, 12, 340}, ChoicePolicy::kCostAware, count);
+  fmt::print(
+      "\nEndpoints of a seat, least and most, and pairs of seat and version\n"
+      "without any endpoint.\n"
+      "endpoints versions seats seats per endpoint  least   most    without\n");
+  filbertshift::MeasureSplit({20, 2, 4}, 4);
+  for (int seats_per_endpoint : {4, 8, 16, 32}) {
+    filbertshift::MeasureSplit({2300, 12, 340}, seats_per_endpoint);
+  }
   fmt::print(
       "\nAdmission queue, microseconds: push of one; a drain that starts\n"
       "nothing; start of one.\n waiting       push  refused drain      "
