Keep other requests off the endpoint of a suspect

A suspect that crashes its endpoint takes the requests beside it along; they would then have to run isolated themselves.

--- a/src/routing/crash_quarantine.cc
+++ b/src/routing/crash_quarantine.cc
@@ -26,7 +26,9 @@
 
 void CrashQuarantine::OnIsolatedRun(Fingerprint fingerprint,
                                     const EndpointId& endpoint) {
-  isolated_runs_[fingerprint] = endpoint;
+  if (suspects_.count(fingerprint) > 0) {
+    isolated_runs_[fingerprint] = endpoint;
+  }
 }
 
 std::vector<SuspectState> CrashQuarantine::OnCrash(
--- a/src/routing/crash_quarantine.h
+++ b/src/routing/crash_quarantine.h
@@ -42,8 +42,9 @@
 
   CrashVerdict Check(Fingerprint fingerprint, TimePoint now) const;
 
-  // A suspect is about to run on the endpoint. Without this call a second crash
-  // of the same endpoint cannot be told from a second report of the first one.
+  // A suspect is about to run on the endpoint; no effect for other requests.
+  // Without this call a second crash of the same endpoint cannot be told from a
+  // second report of the first one.
   void OnIsolatedRun(Fingerprint fingerprint, const EndpointId& endpoint);
 
   // All requests that were in flight on the crashed endpoint. May be called
@@ -78,8 +79,8 @@
   const std::chrono::milliseconds retention_;
   // Invariant: every entry has at least one endpoint.
   std::map<Fingerprint, SuspectState> suspects_;
-  // The endpoint of the latest isolated run of each suspect; removed when the
-  // run crashes or the suspect is cleared or expires.
+  // The endpoint of the latest isolated run; removed when the run crashes.
+  // Invariant: each fingerprint is in suspects_.
   std::map<Fingerprint, EndpointId> isolated_runs_;
 };
 
--- a/src/routing/endpoint_choice.cc
+++ b/src/routing/endpoint_choice.cc
@@ -2,6 +2,7 @@
 // number of endpoints: a bounded sample of the available ones is compared.
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "src/routing/endpoint_registry.h"
@@ -14,6 +15,10 @@
 // make it likely that an idle or near one is among them.
 constexpr std::size_t kSampledEndpoints = 8;
 
+// A suspect may crash its endpoint and all requests beside it. Long enough to
+// use such an endpoint only if there is no other.
+constexpr std::chrono::seconds kSuspectPenalty{60};
+
 bool IsExcluded(const EndpointQuery& query, const EndpointRecord& record) {
   return query.excluded.count(record.endpoint) > 0;
 }
@@ -198,6 +203,9 @@
   if (endpoint.record.data_centre != options_.own_data_centre) {
     delay += options_.remote_penalty;
   }
+  if (endpoint.load.suspects() > 0) {
+    delay += kSuspectPenalty;
+  }
   return delay.count();
 }
 
--- a/tests/bench/routing_bench.cc
+++ b/tests/bench/routing_bench.cc
@@ -277,35 +277,44 @@
       bench.ApplyChangedConfiguration() / 1000, probe_time / 1000, probes);
 }
 
-// How evenly seats are spread over endpoints, and for how many pairs of seat
-// and version the seat has no endpoint at all.
-void MeasureSplit(const Setup& setup, int seats_per_endpoint) {
-  std::vector<int> seats;
-  for (int seat = 0; seat < setup.seats; ++seat) {
-    seats.push_back(seat);
-  }
-  std::vector<std::vector<int>> endpoints(seats.size());
-  for (std::vector<int>& by_version : endpoints) {
-    by_version.assign(static_cast<std::size_t>(setup.versions), 0);
+// Pairs of seat and version in which the seat has no endpoint.
+double PercentWithout(const std::vector<std::vector<int>>& endpoints) {
+  std::ptrdiff_t pairs = 0;
+  std::ptrdiff_t without = 0;
+  for (const std::vector<int>& by_version : endpoints) {
+    pairs += static_cast<std::ptrdiff_t>(by_version.size());
+    without += std::count(by_version.begin(), by_version.end(), 0);
   }
+  return 100.0 * static_cast<double>(without) / static_cast<double>(pairs);
+}
+
+// How evenly seats are spread over endpoints and versions.
+void MeasureSplit(const Setup& setup, int seats_per_endpoint) {
+  std::vector<int> seats(static_cast<std::size_t>(setup.seats));
+  std::iota(seats.begin(), seats.end(), 0);
+  const std::vector<int> none(static_cast<std::size_t>(setup.versions), 0);
+  // By seat and version.
+  std::vector<std::vector<int>> endpoints(seats.size(), none);
+  std::vector<std::vector<int>> first_ranks(seats.size(), none);
   const std::vector<EndpointRecord> records = MakeRecords(setup);
   for (std::size_t i = 0; i < records.size(); ++i) {
-    for (int seat :
-         SeatsOfEndpoint(records[i].endpoint, seats, seats_per_endpoint)) {
-      ++endpoints[seat][i % static_cast<std::size_t>(setup.versions)];
+    const std::size_t version = i % none.size();
+    const std::vector<int> ranked =
+        SeatsOfEndpoint(records[i].endpoint, seats, seats_per_endpoint);
+    ++first_ranks[ranked[0]][version];
+    for (int seat : ranked) {
+      ++endpoints[seat][version];
     }
   }
   std::vector<int> totals;
-  int without = 0;
   for (const std::vector<int>& by_version : endpoints) {
     totals.push_back(std::accumulate(by_version.begin(), by_version.end(), 0));
-    without +=
-        static_cast<int>(std::count(by_version.begin(), by_version.end(), 0));
   }
   const auto [least, most] = std::minmax_element(totals.begin(), totals.end());
-  fmt::print("{:9} {:8} {:5} {:18} {:6} {:6} {:9.1f} %\n", setup.endpoints,
-             setup.versions, setup.seats, seats_per_endpoint, *least, *most,
-             100.0 * without / (setup.seats * setup.versions));
+  fmt::print("{:9} {:8} {:5} {:18} {:6} {:6} {:9.1f} {:10.1f}\n",
+             setup.endpoints, setup.versions, setup.seats, seats_per_endpoint,
+             *least, *most, PercentWithout(endpoints),
+             PercentWithout(first_ranks));
 }
 
 // A full class of requests that cannot start, and one that can.
@@ -360,9 +369,10 @@
   filbertshift::Measure({20, 2, 4}, ChoicePolicy::kCostAware, count);
   filbertshift::Measure({2300, 12, 340}, ChoicePolicy::kCostAware, count);
   fmt::print(
-      "\nEndpoints of a seat, least and most, and pairs of seat and version\n"
-      "without any endpoint.\n"
-      "endpoints versions seats seats per endpoint  least   most    without\n");
+      "\nEndpoints of a seat, least and most; percentage of pairs of seat and\n"
+      "version without any endpoint, and without one for suspects.\n"
+      "endpoints versions seats seats per endpoint  least   most      none"
+      " no suspect\n");
   filbertshift::MeasureSplit({20, 2, 4}, 4);
   for (int seats_per_endpoint : {4, 8, 16, 32}) {
     filbertshift::MeasureSplit({2300, 12, 340}, seats_per_endpoint);
--- a/tests/unit/routing/endpoint_registry_test.cc
+++ b/tests/unit/routing/endpoint_registry_test.cc
@@ -280,6 +280,45 @@
   CHECK(used.size() == 20);
 }
 
+// Guards against requests beside a suspect that crashes, while another endpoint
+// is free.
+TEST_CASE("other requests avoid the endpoint of a suspect", "[routing]") {
+  Fixture f(2);
+  f.ProbeAll(kWarm);
+  EndpointQuery suspect = MakeQuery();
+  suspect.suspect = true;
+  const EndpointId taken = f.Start(suspect);
+  for (int i = 0; i < 8; ++i) {
+    CHECK(f.Start(MakeQuery()) != taken);
+  }
+  CHECK(f.Start(MakeQuery()) == taken);
+}
+
+// Guards against calls of one service that reach another one or an engine.
+TEST_CASE("plain services are chosen by service", "[routing]") {
+  Fixture f(3);
+  f.configuration.services.resize(2);
+  for (int i = 0; i < 2; ++i) {
+    const ServiceId service(fmt::format("service-{}", i));
+    f.configuration.services[i].service = service;
+    f.configuration.services[i].limits = {1, 1, Millis(0)};
+    f.records[i].kind = EndpointKind::kPlainService;
+    f.records[i].service = service;
+  }
+  f.registry.ApplyConfiguration(f.configuration, At(f.now));
+  f.registry.ApplyInstanceList(f.records, At(f.now));
+  f.now += Millis(13000);
+  f.ProbeAll(kWarm);
+  EndpointQuery query;
+  query.kind = EndpointKind::kPlainService;
+  query.service = ServiceId("service-1");
+  CHECK(f.Start(query) == f.records[1].endpoint);
+  CHECK(f.Start(query).empty());
+  query.service = ServiceId("service-2");
+  CHECK_FALSE(f.registry.HasCandidate(query));
+  CHECK(f.Start(MakeQuery()) == f.records[2].endpoint);
+}
+
 // Guards against a choice that ignores what others run, or counts own requests
 // twice because the report lags.
 TEST_CASE("reported load of others counts besides own requests", "[routing]") {
--- a/tests/unit/routing/seat_share_test.cc
+++ b/tests/unit/routing/seat_share_test.cc
@@ -193,21 +193,21 @@
   // An instance has each revision within 13 s, in order or with a gap.
   void Learn(Instance* instance) {
     const std::size_t last = configurations_.size() - 1;
-    std::size_t due = instance->revision;
-    while (due < last &&
-           now_ - configurations_[due + 1].second >= Millis(13000)) {
-      ++due;
+    std::size_t next = instance->revision;
+    while (next < last &&
+           now_ - configurations_[next + 1].second >= Millis(13000)) {
+      ++next;
     }
-    if (due == instance->revision && Pick(random_, 0, 3) > 0) {
-      return;
+    if (Pick(random_, 0, 3) == 0) {
+      next = last;
     }
-    if (last > instance->revision + 1 && Pick(random_, 0, 3) == 0) {
-      const auto& [configuration, committed] = configurations_[last];
+    if (next > instance->revision + 1 && Pick(random_, 0, 1) == 0) {
+      const auto& [configuration, committed] = configurations_[next];
       instance->registry->ApplyConfiguration(configuration, At(now_),
                                              now_ - committed);
-      instance->revision = last;
+      instance->revision = next;
     }
-    while (instance->revision < last) {
+    while (instance->revision < next) {
       ++instance->revision;
       instance->registry->ApplyConfiguration(
           configurations_[instance->revision].first, At(now_));
