--- a/tests/bench/routing_bench.cc
+++ b/tests/bench/routing_bench.cc
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -276,6 +277,46 @@
       bench.ApplyChangedConfiguration() / 1000, probe_time / 1000, probes);
 }
 
+// Pairs of seat and version in which the seat has no endpoint.
+double PercentWithout(const std::vector<std::vector<int>>& endpoints) {
+  std::ptrdiff_t pairs = 0;
+  std::ptrdiff_t without = 0;
+  for (const std::vector<int>& by_version : endpoints) {
+    pairs += static_cast<std::ptrdiff_t>(by_version.size());
+    without += std::count(by_version.begin(), by_version.end(), 0);
+  }
+  return 100.0 * static_cast<double>(without) / static_cast<double>(pairs);
+}
+
+// How evenly seats are spread over endpoints and versions.
+void MeasureSplit(const Setup& setup, int seats_per_endpoint) {
+  std::vector<int> seats(static_cast<std::size_t>(setup.seats));
+  std::iota(seats.begin(), seats.end(), 0);
+  const std::vector<int> none(static_cast<std::size_t>(setup.versions), 0);
+  // By seat and version.
+  std::vector<std::vector<int>> endpoints(seats.size(), none);
+  std::vector<std::vector<int>> first_ranks(seats.size(), none);
+  const std::vector<EndpointRecord> records = MakeRecords(setup);
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    const std::size_t version = i % none.size();
+    const std::vector<int> ranked =
+        SeatsOfEndpoint(records[i].endpoint, seats, seats_per_endpoint);
+    ++first_ranks[ranked[0]][version];
+    for (int seat : ranked) {
+      ++endpoints[seat][version];
+    }
+  }
+  std::vector<int> totals;
+  for (const std::vector<int>& by_version : endpoints) {
+    totals.push_back(std::accumulate(by_version.begin(), by_version.end(), 0));
+  }
+  const auto [least, most] = std::minmax_element(totals.begin(), totals.end());
+  fmt::print("{:9} {:8} {:5} {:18} {:6} {:6} {:9.1f} {:10.1f}\n",
+             setup.endpoints, setup.versions, setup.seats, seats_per_endpoint,
+             *least, *most, PercentWithout(endpoints),
+             PercentWithout(first_ranks));
+}
+
 // A full class of requests that cannot start, and one that can.
 void MeasureQueue(int waiting) {
   AdmissionQueue queue;
@@ -327,6 +368,15 @@
   // The installation of today and the target size.
   filbertshift::Measure({20, 2, 4}, ChoicePolicy::kCostAware, count);
   filbertshift::Measure({2300, 12, 340}, ChoicePolicy::kCostAware, count);
+  fmt::print(
+      "\nEndpoints of a seat, least and most; percentage of pairs of seat and\n"
+      "version without any endpoint, and without one for suspects.\n"
+      "endpoints versions seats seats per endpoint  least   most      none"
+      " no suspect\n");
+  filbertshift::MeasureSplit({20, 2, 4}, 4);
+  for (int seats_per_endpoint : {4, 8, 16, 32}) {
+    filbertshift::MeasureSplit({2300, 12, 340}, seats_per_endpoint);
+  }
   fmt::print(
       "\nAdmission queue, microseconds: push of one; a drain that starts\n"
       "nothing; start of one.\n waiting       push  refused drain      "
