Add filbertshiftctl

Cause: operators had no tool to check, change and watch the configuration.

Change: the verbs are a library apart from main, run against an abstract client and clock.

--- /dev/null
+++ b/src/ctl/apply_verb.cc
@@ -0,0 +1,90 @@
+// apply: writes one section of a file.
+
+#include <fmt/format.h>
+
+#include "src/ctl/invocation.h"
+#include "src/ctl/section_change.h"
+
+namespace filbertshift {
+
+namespace {
+
+namespace po = boost::program_options;
+
+// True for a document with section names as keys; false for the text of one
+// section. The section "models" has a list under the key "models", a document
+// has an object there.
+bool IsWholeDocument(const std::string& name, const std::string& text) {
+  std::vector<Finding> syntax = SyntaxFindings(name, text);
+  if (!syntax.empty()) {
+    throw FindingsError(std::move(syntax));
+  }
+  nlohmann::json root =
+      nlohmann::json::parse(text, nullptr, false, /*ignore_comments=*/true);
+  if (!root.is_object() || root.empty()) {
+    return false;
+  }
+  for (const auto& [key, value] : root.items()) {
+    bool is_section = false;
+    for (Section section : ConfigurationSections()) {
+      is_section = is_section || SectionName(section) == key;
+    }
+    if (!is_section || (key == "models" && !value.is_object())) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// The text of the section, as it is to be stored.
+std::string SectionOfFile(Section section, const std::string& name) {
+  std::string text = ReadInputFile(name);
+  if (!IsWholeDocument(name, text)) {
+    return text;
+  }
+  auto texts = SplitDocument(name, text);
+  auto found = texts.find(section);
+  if (found == texts.end()) {
+    throw UsageError(
+        fmt::format("{} has no section {}", name, SectionName(section)));
+  }
+  return found->second;
+}
+
+void AddApplyOptions(po::options_description& options) {
+  options.add_options()("section", po::value<std::string>(),
+                        "the section to write")(
+      "base-revision", po::value<std::uint64_t>(),
+      "revision that the change is based on; without it the one that is in "
+      "force now");
+  AddChangeOptions(options);
+}
+
+ExitCode RunApply(const Invocation& invocation) {
+  SectionWrite write;
+  write.section = SectionArgument(invocation.RequiredText("section"));
+  write.author = invocation.RequiredText("author");
+  write.text = SectionOfFile(write.section, invocation.Text("file"));
+  RunningSystem system(invocation);
+  SectionTexts stored = system.ReadSections();
+  write.base_revision =
+      invocation.Has("base-revision")
+          ? invocation.options["base-revision"].as<std::uint64_t>()
+          : stored.at(write.section).revision;
+  return ChangeSection(invocation, system, stored, write);
+}
+
+}  // namespace
+
+std::vector<Verb> ApplyVerbs() {
+  return {{"apply",
+           {"FILE"},
+           "write one section",
+           "FILE is a whole document or the text of the section. It is checked "
+           "first; a\nchange by someone else since the base revision gives a "
+           "conflict (exit code 4)\nthat shows both sides.",
+           AddApplyOptions,
+           RunApply}};
+}
+
+}  // namespace filbertshift
--- /dev/null
+++ b/src/ctl/main.cc
@@ -0,0 +1,20 @@
+// filbertshiftctl: the operators' command-line tool.
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+#include "src/ctl/ctl.h"
+
+int main(int argc, char** argv) {
+  // A reader that closes the pipe early ends the output quietly.
+  std::signal(SIGPIPE, SIG_DFL);
+  filbertshift::CurlOperatorClient client;
+  filbertshift::SystemClock clock;
+  filbertshift::CtlEnvironment environment{std::cout, std::cerr, client, clock,
+                                           [](std::chrono::milliseconds time) {
+                                             std::this_thread::sleep_for(time);
+                                           }};
+  std::vector<std::string> arguments(argv + 1, argv + argc);
+  return static_cast<int>(filbertshift::RunCommand(arguments, environment));
+}
--- /dev/null
+++ b/src/ctl/operator_client.cc
@@ -0,0 +1,108 @@
+#include "src/ctl/operator_client.h"
+
+#include <curl/curl.h>
+
+#include <memory>
+#include <stdexcept>
+
+namespace filbertshift {
+
+namespace {
+
+constexpr long kConnectTimeoutMs = 2000;
+// An instance waits for its core for up to 10 s before it replies.
+constexpr long kCallTimeoutMs = 12000;
+// 100,000 events of about 400 bytes fit.
+constexpr std::size_t kMaxReplyBytes = std::size_t{64} * 1024 * 1024;
+
+std::size_t AppendBody(char* bytes,
+                       std::size_t size,
+                       std::size_t count,
+                       void* out) {
+  auto* body = static_cast<std::string*>(out);
+  if (body->size() + size * count > kMaxReplyBytes) {
+    return 0;
+  }
+  body->append(bytes, size * count);
+  return size * count;
+}
+
+struct EasyDeleter {
+  void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+};
+using EasyHandle = std::unique_ptr<CURL, EasyDeleter>;
+
+struct ListDeleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
+
+void SetBody(CURL* easy, const CallSpec& call) {
+  if (call.method == "GET") {
+    return;
+  }
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+  curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+  curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                   static_cast<curl_off_t>(call.body.size()));
+}
+
+// Without a connection the library reports no time at which it was made.
+CallOutcome FailureOutcome(CURL* easy) {
+  curl_off_t connected_after = 0;
+  curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connected_after);
+  return connected_after == 0 ? CallOutcome::kNotConnected
+                              : CallOutcome::kNoReply;
+}
+
+}  // namespace
+
+CurlOperatorClient::CurlOperatorClient() {
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+}
+
+CurlOperatorClient::~CurlOperatorClient() {
+  curl_global_cleanup();
+}
+
+CallReply CurlOperatorClient::Call(const CallSpec& call) {
+  EasyHandle easy(curl_easy_init());
+  if (!easy) {
+    throw std::runtime_error("the HTTP library cannot start");
+  }
+  const std::string url = "http://" + call.address + call.target;
+  // "Expect:" keeps the library from waiting for "100 Continue", which the
+  // server does not send.
+  HeaderList headers(curl_slist_append(nullptr, "Expect:"));
+  CallReply reply;
+  curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy.get(), CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy.get(), CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy.get(), CURLOPT_HTTPHEADER, headers.get());
+  curl_easy_setopt(easy.get(), CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
+  curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, kCallTimeoutMs);
+  curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, AppendBody);
+  curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &reply.body);
+  SetBody(easy.get(), call);
+  CURLcode code = curl_easy_perform(easy.get());
+  if (code != CURLE_OK) {
+    reply.outcome = FailureOutcome(easy.get());
+    reply.detail = curl_easy_strerror(code);
+    return reply;
+  }
+  long status = 0;
+  curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &status);
+  reply.outcome = CallOutcome::kReplied;
+  reply.http_status = static_cast<int>(status);
+  return reply;
+}
+
+std::string EncodeQueryValue(const std::string& value) {
+  std::unique_ptr<char, void (*)(void*)> encoded(
+      curl_easy_escape(nullptr, value.data(), static_cast<int>(value.size())),
+      curl_free);
+  return encoded ? std::string(encoded.get()) : std::string();
+}
+
+}  // namespace filbertshift
--- /dev/null
+++ b/src/ctl/running_system.cc
@@ -0,0 +1,207 @@
+#include "src/ctl/running_system.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace filbertshift {
+
+namespace {
+
+constexpr std::chrono::milliseconds kPollInterval{200};
+// Readings after a lost reply; a write that took effect late shows by then.
+constexpr int kReadBackAttempts = 10;
+
+// The message of an error reply, or its text if it has another form.
+std::string ErrorMessage(const CallReply& reply) {
+  nlohmann::json body = nlohmann::json::parse(reply.body, nullptr, false);
+  if (body.is_object() && body.contains("error") && body["error"].is_object()) {
+    std::string message = body["error"].value("code", "");
+    message += ": " + body["error"].value("message", "");
+    for (const nlohmann::json& finding :
+         body["error"].value("findings", nlohmann::json::array())) {
+      message +=
+          fmt::format("\n{}:{}:{}: {}: {}", finding.value("source", ""),
+                      finding.value("line", 0), finding.value("column", 0),
+                      finding.value("path", ""), finding.value("message", ""));
+    }
+    return message;
+  }
+  return fmt::format("HTTP status {}", reply.http_status);
+}
+
+WriteResult ConflictResult(const CallReply& reply) {
+  nlohmann::json body = nlohmann::json::parse(reply.body);
+  WriteResult result;
+  result.status = WriteStatus::kConflict;
+  const nlohmann::json& current = body.at("current");
+  result.current.revision = current.at("revision").get<std::uint64_t>();
+  result.current.text = current.at("text").get<std::string>();
+  result.current_author = current.value("author", "");
+  return result;
+}
+
+WriteResult Failed(WriteStatus status, std::string message) {
+  WriteResult result;
+  result.status = status;
+  result.message = std::move(message);
+  return result;
+}
+
+WriteResult InterpretReply(const CallReply& reply) {
+  switch (reply.http_status) {
+    case 200: {
+      WriteResult result;
+      result.status = WriteStatus::kAccepted;
+      result.revision =
+          nlohmann::json::parse(reply.body).at("revision").get<std::uint64_t>();
+      return result;
+    }
+    case 409:
+      return ConflictResult(reply);
+    case 422:
+      return Failed(WriteStatus::kInvalid, ErrorMessage(reply));
+    case 500:
+    case 504:
+      return Failed(WriteStatus::kUnknown, ErrorMessage(reply));
+    default:
+      return Failed(WriteStatus::kRefused, ErrorMessage(reply));
+  }
+}
+
+}  // namespace
+
+RunningSystem::RunningSystem(const Invocation& invocation)
+    : environment_(invocation.environment),
+      instances_(invocation.RequiredInstances()) {}
+
+InstanceReply RunningSystem::Read(const std::string& address,
+                                  const std::string& target) const {
+  CallReply reply = environment_.client.Call({address, "GET", target, ""});
+  InstanceReply result{address, std::nullopt, reply.detail};
+  if (reply.outcome != CallOutcome::kReplied) {
+    return result;
+  }
+  if (reply.http_status != 200) {
+    result.detail = ErrorMessage(reply);
+    return result;
+  }
+  nlohmann::json body = nlohmann::json::parse(reply.body, nullptr, false);
+  if (body.is_object()) {
+    result.body = std::move(body);
+  } else {
+    result.detail = "malformed reply";
+  }
+  return result;
+}
+
+std::vector<InstanceReply> RunningSystem::ReadAll(
+    const std::string& target) const {
+  std::vector<InstanceReply> replies;
+  for (const std::string& address : instances_) {
+    replies.push_back(Read(address, target));
+  }
+  return replies;
+}
+
+nlohmann::json RunningSystem::ReadAny(const std::string& target) const {
+  std::string details;
+  for (const std::string& address : instances_) {
+    InstanceReply reply = Read(address, target);
+    if (reply.body) {
+      return *reply.body;
+    }
+    details += fmt::format("\n  {}: {}", address, reply.detail);
+  }
+  throw NotReachableError("no instance gave a valid reply:" + details);
+}
+
+SectionTexts RunningSystem::ReadSections() const {
+  nlohmann::json body = ReadAny("/v1/configuration");
+  SectionTexts sections;
+  for (Section section : ConfigurationSections()) {
+    const nlohmann::json& entry =
+        body.at("sections").at(std::string(SectionName(section)));
+    sections[section] = {entry.at("revision").get<std::uint64_t>(),
+                         entry.at("text").get<std::string>()};
+  }
+  return sections;
+}
+
+WriteResult RunningSystem::Write(const SectionWrite& write) const {
+  const std::string target =
+      fmt::format("/v1/configuration/{}?base_revision={}&author={}",
+                  SectionName(write.section), write.base_revision,
+                  EncodeQueryValue(write.author));
+  for (const std::string& address : instances_) {
+    CallReply reply =
+        environment_.client.Call({address, "PUT", target, write.text});
+    if (reply.outcome == CallOutcome::kNotConnected) {
+      continue;
+    }
+    if (reply.outcome == CallOutcome::kNoReply) {
+      return ResolveLostReply(write, reply.detail);
+    }
+    WriteResult result = InterpretReply(reply);
+    return result.status == WriteStatus::kUnknown
+               ? ResolveLostReply(write, result.message)
+               : result;
+  }
+  throw NotReachableError("no instance can be reached; nothing was sent");
+}
+
+WriteResult RunningSystem::ResolveLostReply(const SectionWrite& write,
+                                            const std::string& detail) const {
+  for (int attempt = 0; attempt < kReadBackAttempts; ++attempt) {
+    environment_.sleep(kPollInterval);
+    try {
+      SectionText stored = ReadSections().at(write.section);
+      if (stored.revision == write.base_revision + 1 &&
+          stored.text == write.text) {
+        WriteResult result;
+        result.status = WriteStatus::kAccepted;
+        result.revision = stored.revision;
+        return result;
+      }
+    } catch (const NotReachableError&) {
+      // The next reading may find an instance.
+    }
+  }
+  return Failed(WriteStatus::kUnknown,
+                detail + "; read the section before you apply it again");
+}
+
+std::vector<std::string> RunningSystem::WaitInForce(
+    Section section,
+    std::uint64_t revision,
+    std::chrono::milliseconds timeout) const {
+  const TimePoint deadline = environment_.clock.Now() + timeout;
+  std::vector<std::string> waiting = instances_;
+  while (true) {
+    std::vector<std::string> behind;
+    for (const std::string& address : waiting) {
+      InstanceReply reply = Read(address, "/v1/instance");
+      if (!reply.body || RevisionOf(*reply.body, section) < revision) {
+        behind.push_back(address);
+      }
+    }
+    if (behind.empty() || environment_.clock.Now() >= deadline) {
+      return behind;
+    }
+    waiting = behind;
+    environment_.sleep(kPollInterval);
+  }
+}
+
+std::uint64_t RevisionOf(const nlohmann::json& instance, Section section) {
+  auto revisions = instance.find("revisions");
+  if (revisions == instance.end() || !revisions->is_object()) {
+    return 0;
+  }
+  auto revision = revisions->find(std::string(SectionName(section)));
+  return revision != revisions->end() && revision->is_number_unsigned()
+             ? revision->get<std::uint64_t>()
+             : 0;
+}
+
+}  // namespace filbertshift
