--- /dev/null
+++ b/tests/unit/ctl/operations_page_test.cc
@@ -0,0 +1,30 @@
+// Tests that the page for the person on call is complete.
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <sstream>
+
+#include "src/common/common.h"
+#include "src/ctl/ctl.h"
+
+namespace filbertshift {
+namespace {
+
+// Guards against an alarming event without a word on what to do about it.
+TEST_CASE("docs/operations.md has every warning and error", "[ctl]") {
+  std::ifstream file(FILBERTSHIFT_SOURCE_DIR "/docs/operations.md");
+  std::stringstream page;
+  page << file.rdbuf();
+  for (const EventDefinition& definition : EventDefinitions()) {
+    bool listed = definition.severity >= Severity::kWarning;
+    std::ostringstream row;
+    row << "| FS" << static_cast<int>(definition.id) << " " << definition.name
+        << " |";
+    INFO(row.str());
+    CHECK((page.str().find(row.str()) != std::string::npos) == listed);
+  }
+}
+
+}  // namespace
+}  // namespace filbertshift
