Read from and write to all instances given; keep places of files

Cause: apply reported places of the section instead of the file, a first instance without a path to the table service made writes fail, and a log could steer the terminal through the timeline.

Change: findings of apply have the places of the file. Sections are read at the newest revision of all instances given, and a write that one instance certainly did not store goes to the next. Control characters are printed as \xNN. Comments between the key and the value of a section are kept. A faulty seat keeps its index.

--- a/src/config/configuration_document.cc
+++ b/src/config/configuration_document.cc
@@ -156,21 +156,46 @@
   return reader.findings();
 }
 
-// The text between the comma or brace before a member and its key, without
-// leading white space: the comments that introduce the member.
-std::string IntroducingComments(const JsonDocument& document,
-                                std::size_t previous_end,
-                                std::size_t key_begin) {
-  std::size_t begin = SkipSpaceAndComments(document.text(), previous_end);
-  if (begin < key_begin && document.text()[begin] == ',') {
-    previous_end = begin + 1;
+// The comments between a separator and what follows it. `begin` is where the
+// token before the separator ends.
+std::string CommentsAfterSeparator(const std::string& text,
+                                   std::size_t begin,
+                                   std::size_t end) {
+  std::size_t separator = SkipSpaceAndComments(text, begin);
+  if (separator < end) {
+    begin = separator + 1;
   }
-  std::string between =
-      document.text().substr(previous_end, key_begin - previous_end);
+  std::string between = text.substr(begin, end - begin);
   std::size_t first = between.find('/');
   return first == std::string::npos ? std::string() : between.substr(first);
 }
 
+// `text` from `begin` to before `end`, after as much white space as keeps its
+// lines and columns.
+std::string PaddedText(const std::string& text,
+                       std::size_t begin,
+                       std::size_t end) {
+  std::string padded;
+  for (std::size_t i = 0; i < begin; ++i) {
+    // Columns count characters, so continuation bytes of UTF-8 take none.
+    if ((static_cast<unsigned char>(text[i]) & 0xC0) != 0x80) {
+      padded += text[i] == '\n' ? '\n' : ' ';
+    }
+  }
+  return padded + text.substr(begin, end - begin);
+}
+
+// Parses the document and throws FindingsError if its top level has faults.
+JsonDocument ParseWholeDocument(const std::string& source,
+                                const std::string& document) {
+  JsonDocument parsed(source, document);
+  std::vector<Finding> findings = CheckTopLevel(parsed);
+  if (!findings.empty()) {
+    throw FindingsError(std::move(findings));
+  }
+  return parsed;
+}
+
 void Diff(const std::string& path,
           const JsonNode* before,
           const JsonNode* after,
@@ -324,24 +349,32 @@
 
 std::map<Section, std::string> SplitDocument(const std::string& source,
                                              const std::string& document) {
-  JsonDocument parsed(source, document);
-  std::vector<Finding> findings = CheckTopLevel(parsed);
-  if (!findings.empty()) {
-    throw FindingsError(std::move(findings));
-  }
+  JsonDocument parsed = ParseWholeDocument(source, document);
   std::map<Section, std::string> texts;
-  std::size_t previous_end = parsed.root().begin + 1;
+  // The opening brace stands where a comma is before the other members.
+  std::size_t previous_end = parsed.root().begin;
   for (const JsonNode& member : parsed.root().children) {
-    std::string comments =
-        IntroducingComments(parsed, previous_end, member.key_begin);
     texts[ParseSectionName(member.key)] =
-        comments + document.substr(member.begin, member.end - member.begin) +
-        "\n";
+        CommentsAfterSeparator(document, previous_end, member.key_begin) +
+        CommentsAfterSeparator(document, member.key_end, member.begin) +
+        document.substr(member.begin, member.end - member.begin) + "\n";
     previous_end = member.end;
   }
   return texts;
 }
 
+std::map<Section, std::string> SplitDocumentInPlace(
+    const std::string& source,
+    const std::string& document) {
+  JsonDocument parsed = ParseWholeDocument(source, document);
+  std::map<Section, std::string> texts;
+  for (const JsonNode& member : parsed.root().children) {
+    texts[ParseSectionName(member.key)] =
+        PaddedText(document, member.begin, member.end);
+  }
+  return texts;
+}
+
 std::vector<SectionChange> DiffSections(const std::string& before,
                                         const std::string& after) {
   std::optional<JsonDocument> old_document = ParseIfNotEmpty("before", before);
--- a/src/config/configuration_document.h
+++ b/src/config/configuration_document.h
@@ -46,10 +46,17 @@
                                     const std::string& text);
 
 // Splits one document with the section names as top-level keys into the text
-// of each section, comments kept. Throws FindingsError.
+// of each section, with the comments before its key and within it. Throws
+// FindingsError.
 std::map<Section, std::string> SplitDocument(const std::string& source,
                                              const std::string& document);
 
+// The same without the comments before the key, and with white space before
+// each text, so that findings have their place in the document.
+std::map<Section, std::string> SplitDocumentInPlace(
+    const std::string& source,
+    const std::string& document);
+
 // One changed value between two texts of a section.
 struct SectionChange {
   // JSON pointer.
--- a/src/config/document_checks.cc
+++ b/src/config/document_checks.cc
@@ -246,6 +246,9 @@
                   data_centre.data_centre.value(), path + "/data_centre",
                   &data_centres);
       for (std::size_t j = 0; j < data_centre.seats.size(); ++j) {
+        if (data_centre.seats[j] < 0) {
+          continue;
+        }
         CheckUnique(Section::kDataCentres, "seat",
                     std::to_string(data_centre.seats[j]),
                     fmt::format("{}/seats/{}", path, j), &seats);
--- a/src/config/field_types.h
+++ b/src/config/field_types.h
@@ -298,13 +298,13 @@
       return;
     }
     for (std::size_t i = 0; i < node.children.size(); ++i) {
-      int value = range.least;
+      // A faulty element keeps its place, so that indices match the text.
+      int value = range.least - 1;
       if (auto message =
               field_internal::ReadInteger(node.children[i], range, &value)) {
         reader.Report(node.children[i], JoinPointer(path, i), *message);
-      } else {
-        (out->*member).push_back(value);
       }
+      (out->*member).push_back(value);
     }
   };
   field.format = [](const T&) { return std::string("[]"); };
--- a/src/config/json_tree.cc
+++ b/src/config/json_tree.cc
@@ -81,6 +81,7 @@
     key_begin_ = TokenBegin();
     key_ = std::move(value);
     token_end_ = consumed_;
+    key_end_ = consumed_;
     return true;
   }
   bool start_object(std::size_t) override {
@@ -123,6 +124,7 @@
     node.begin = TokenBegin();
     node.key = std::exchange(key_, std::string());
     node.key_begin = key_begin_;
+    node.key_end = key_end_;
     return node;
   }
 
@@ -184,6 +186,7 @@
   const std::size_t& consumed_;
   std::size_t token_end_ = 0;
   std::size_t key_begin_ = 0;
+  std::size_t key_end_ = 0;
   std::string key_;
   // Containers that are not closed yet, outermost first.
   std::vector<JsonNode> open_;
--- a/src/config/json_tree.h
+++ b/src/config/json_tree.h
@@ -33,8 +33,9 @@
   // Key of an object member; empty for other values.
   std::string key;
   // Byte offsets. The value is the text from `begin` to before `end`. The key
-  // starts at `key_begin`.
+  // is the text from `key_begin` to before `key_end`, quotes included.
   std::size_t key_begin = 0;
+  std::size_t key_end = 0;
   std::size_t begin = 0;
   std::size_t end = 0;
   // Array elements, or object members in the order of the text. Duplicate keys
--- a/src/ctl/apply_verb.cc
+++ b/src/ctl/apply_verb.cc
@@ -36,19 +36,24 @@
   return true;
 }
 
-// The text of the section, as it is to be stored.
-std::string SectionOfFile(Section section, const std::string& name) {
+struct SectionInput {
+  // As it is to be stored.
+  std::string text;
+  // The same with the places of the file, for findings.
+  std::string text_in_place;
+};
+
+SectionInput SectionOfFile(Section section, const std::string& name) {
   std::string text = ReadInputFile(name);
   if (!IsWholeDocument(name, text)) {
-    return text;
+    return {text, text};
   }
   auto texts = SplitDocument(name, text);
-  auto found = texts.find(section);
-  if (found == texts.end()) {
+  if (texts.count(section) == 0) {
     throw UsageError(
         fmt::format("{} has no section {}", name, SectionName(section)));
   }
-  return found->second;
+  return {texts[section], SplitDocumentInPlace(name, text)[section]};
 }
 
 void AddApplyOptions(po::options_description& options) {
@@ -64,9 +69,13 @@
   SectionWrite write;
   write.section = SectionArgument(invocation.RequiredText("section"));
   write.author = invocation.RequiredText("author");
-  write.text = SectionOfFile(write.section, invocation.Text("file"));
+  const std::string file = invocation.Text("file");
+  const SectionInput input = SectionOfFile(write.section, file);
+  write.text = input.text;
   RunningSystem system(invocation);
   SectionTexts stored = system.ReadSections();
+  ThrowFindings(file, write.section,
+                ValidateSection(write.section, input.text_in_place, stored));
   write.base_revision =
       invocation.Has("base-revision")
           ? invocation.options["base-revision"].as<std::uint64_t>()
--- a/src/ctl/document_verbs.cc
+++ b/src/ctl/document_verbs.cc
@@ -39,13 +39,7 @@
         "a single section is checked against the others: give --context FILE "
         "with a whole document, or --instance");
   }
-  std::vector<Finding> findings = ValidateSection(section, text, others);
-  for (Finding& finding : findings) {
-    if (finding.source == SectionName(section)) {
-      finding.source = name;
-    }
-  }
-  return findings;
+  return WithSource(name, section, ValidateSection(section, text, others));
 }
 
 void AddValidateOptions(po::options_description& options) {
--- a/src/ctl/running_system.cc
+++ b/src/ctl/running_system.cc
@@ -11,6 +11,7 @@
 constexpr std::chrono::milliseconds kPollInterval{200};
 // Readings after a lost reply; a write that took effect late shows by then.
 constexpr int kReadBackAttempts = 10;
+constexpr int kServiceUnavailable = 503;
 
 // The message of an error reply, or its text if it has another form.
 std::string ErrorMessage(const CallReply& reply) {
@@ -104,28 +105,29 @@
   return replies;
 }
 
-nlohmann::json RunningSystem::ReadAny(const std::string& target) const {
+SectionTexts RunningSystem::ReadSections() const {
+  SectionTexts newest;
   std::string details;
-  for (const std::string& address : instances_) {
-    InstanceReply reply = Read(address, target);
-    if (reply.body) {
-      return *reply.body;
+  for (const InstanceReply& reply : ReadAll("/v1/configuration")) {
+    if (!reply.body) {
+      details += fmt::format("\n  {}: {}", reply.address, reply.detail);
+      continue;
+    }
+    for (Section section : ConfigurationSections()) {
+      const nlohmann::json& entry =
+          reply.body->at("sections").at(std::string(SectionName(section)));
+      SectionText text{entry.at("revision").get<std::uint64_t>(),
+                       entry.at("text").get<std::string>()};
+      if (newest.count(section) == 0 ||
+          newest[section].revision < text.revision) {
+        newest[section] = std::move(text);
+      }
     }
-    details += fmt::format("\n  {}: {}", address, reply.detail);
   }
-  throw NotReachableError("no instance gave a valid reply:" + details);
-}
-
-SectionTexts RunningSystem::ReadSections() const {
-  nlohmann::json body = ReadAny("/v1/configuration");
-  SectionTexts sections;
-  for (Section section : ConfigurationSections()) {
-    const nlohmann::json& entry =
-        body.at("sections").at(std::string(SectionName(section)));
-    sections[section] = {entry.at("revision").get<std::uint64_t>(),
-                         entry.at("text").get<std::string>()};
+  if (newest.empty()) {
+    throw NotReachableError("no instance gave a valid reply:" + details);
   }
-  return sections;
+  return newest;
 }
 
 WriteResult RunningSystem::Write(const SectionWrite& write) const {
@@ -133,6 +135,7 @@
       fmt::format("/v1/configuration/{}?base_revision={}&author={}",
                   SectionName(write.section), write.base_revision,
                   EncodeQueryValue(write.author));
+  std::optional<WriteResult> refused;
   for (const std::string& address : instances_) {
     CallReply reply =
         environment_.client.Call({address, "PUT", target, write.text});
@@ -143,9 +146,17 @@
       return ResolveLostReply(write, reply.detail);
     }
     WriteResult result = InterpretReply(reply);
-    return result.status == WriteStatus::kUnknown
-               ? ResolveLostReply(write, result.message)
-               : result;
+    if (result.status == WriteStatus::kUnknown) {
+      return ResolveLostReply(write, result.message);
+    }
+    // Nothing was stored; another instance may have a path to the table.
+    if (reply.http_status != kServiceUnavailable) {
+      return result;
+    }
+    refused = result;
+  }
+  if (refused) {
+    return *refused;
   }
   throw NotReachableError("no instance can be reached; nothing was sent");
 }
--- a/src/ctl/running_system.h
+++ b/src/ctl/running_system.h
@@ -58,13 +58,12 @@
 
   // Asks every instance.
   std::vector<InstanceReply> ReadAll(const std::string& target) const;
-  // The first valid reply. Throws NotReachableError if there is none.
-  nlohmann::json ReadAny(const std::string& target) const;
-  // Throws NotReachableError if there is no valid reply.
+  // The newest revision of each section at any instance. Throws
+  // NotReachableError if there is no valid reply.
   SectionTexts ReadSections() const;
 
-  // Writes at the first instance that can be reached. A lost reply is resolved
-  // by reading the section back.
+  // Writes at the first instance that can be reached and can store it. A lost
+  // reply is resolved by reading the section back.
   WriteResult Write(const SectionWrite& write) const;
 
   // Waits until every instance shows at least this revision. Returns the
--- a/src/ctl/section_change.cc
+++ b/src/ctl/section_change.cc
@@ -47,7 +47,9 @@
       "conflict: section {} is at revision {}{}, your change is based on "
       "revision {}; nothing was stored\n\n",
       SectionName(write.section), result.current.revision,
-      result.current_author.empty() ? "" : " by " + result.current_author,
+      result.current_author.empty()
+          ? ""
+          : " by " + PrintableText(result.current_author),
       write.base_revision);
   std::vector<TableCells> rows;
   for (const SectionChange& change : changes) {
@@ -139,6 +141,25 @@
   return ExitCode::kFailure;
 }
 
+std::vector<Finding> WithSource(const std::string& file,
+                                Section section,
+                                std::vector<Finding> findings) {
+  for (Finding& finding : findings) {
+    if (finding.source == SectionName(section)) {
+      finding.source = file;
+    }
+  }
+  return findings;
+}
+
+void ThrowFindings(const std::string& file,
+                   Section section,
+                   std::vector<Finding> findings) {
+  if (!findings.empty()) {
+    throw FindingsError(WithSource(file, section, std::move(findings)));
+  }
+}
+
 void PrintChanges(std::ostream& out,
                   const std::vector<SectionChange>& changes) {
   for (const SectionChange& change : changes) {
--- a/src/ctl/section_change.h
+++ b/src/ctl/section_change.h
@@ -22,6 +22,15 @@
                        const SectionTexts& stored,
                        const SectionWrite& write);
 
+// Names the file instead of the section as the source of its findings.
+std::vector<Finding> WithSource(const std::string& file,
+                                Section section,
+                                std::vector<Finding> findings);
+// Throws FindingsError if there are any, with the file as source.
+void ThrowFindings(const std::string& file,
+                   Section section,
+                   std::vector<Finding> findings);
+
 void PrintChanges(std::ostream& out, const std::vector<SectionChange>& changes);
 nlohmann::json ChangesToJson(const std::vector<SectionChange>& changes);
 
--- a/src/ctl/table_printer.cc
+++ b/src/ctl/table_printer.cc
@@ -13,7 +13,7 @@
               const std::vector<std::size_t>& widths) {
   std::string line;
   for (std::size_t i = 0; i < row.size() && i < widths.size(); ++i) {
-    line += fmt::format("{:<{}}  ", row[i], widths[i]);
+    line += fmt::format("{:<{}}  ", PrintableText(row[i]), widths[i]);
   }
   line.erase(line.find_last_not_of(' ') + 1);
   out << line << "\n";
@@ -21,6 +21,19 @@
 
 }  // namespace
 
+std::string PrintableText(const std::string& text) {
+  std::string printable;
+  for (char c : text) {
+    auto byte = static_cast<unsigned char>(c);
+    if (byte < 0x20 || byte == 0x7F) {
+      printable += fmt::format("\\x{:02x}", byte);
+    } else {
+      printable += c;
+    }
+  }
+  return printable;
+}
+
 void PrintTable(std::ostream& out,
                 const TableCells& heading,
                 const std::vector<TableCells>& rows) {
--- a/src/ctl/table_printer.h
+++ b/src/ctl/table_printer.h
@@ -11,6 +11,10 @@
 
 using TableCells = std::vector<std::string>;
 
+// Replaces control characters, so that text from a log cannot steer the
+// terminal or break a line.
+std::string PrintableText(const std::string& text);
+
 // Prints columns as wide as their widest cell. Rows may be shorter than the
 // heading.
 void PrintTable(std::ostream& out,
--- a/tests/unit/admin/admin_server_test.cc
+++ b/tests/unit/admin/admin_server_test.cc
@@ -281,6 +281,25 @@
         std::string::npos);
 }
 
+// Guards against a stop that is lost because the thread has not started yet.
+TEST_CASE_METHOD(AdminFixture, "stop directly after start", "[admin]") {
+  for (int i = 0; i < 50; ++i) {
+    AdminServer server(Options(FreePort()), ring_, log_, registry_, ready_);
+    server.Start();
+    server.Stop();
+  }
+}
+
+// Guards against a daemon that runs without its operator interface.
+TEST_CASE_METHOD(AdminFixture, "an address in use is an error", "[admin]") {
+  AdminServer second(Options(port_), ring_, log_, registry_, ready_);
+  CHECK_THROWS_AS(second.Start(), std::exception);
+  AdminServerOptions options = Options(port_);
+  options.listen = "127.0.0.1";
+  AdminServer third(options, ring_, log_, registry_, ready_);
+  CHECK_THROWS_AS(third.Start(), std::invalid_argument);
+}
+
 // Guards against a stop that hangs on a waiting call.
 TEST_CASE_METHOD(AdminFixture, "stop ends waiting calls", "[admin]") {
   silent_ = true;
--- a/tests/unit/config/configuration_document_test.cc
+++ b/tests/unit/config/configuration_document_test.cc
@@ -193,6 +193,13 @@
         "first at /0/data_centre\n"
         "data_centres:3:49: /1/seats/0: duplicate seat \"1\", first at "
         "/0/seats/1\n");
+  centres =
+      R"([{"data_centre": "a", "region": "r", "seats": [-1, "x", 3, 3]}])";
+  CHECK(Join(ValidateSection(Section::kDataCentres, centres, {})) ==
+        "data_centres:1:48: /0/seats/0: out of range 0 to 9999\n"
+        "data_centres:1:52: /0/seats/1: expected an integer, found string\n"
+        "data_centres:1:60: /0/seats/3: duplicate seat \"3\", first at "
+        "/0/seats/2\n");
   SectionTexts sections = ExampleSections();
   std::string accounts = sections[Section::kClientAccounts].text;
   accounts = Replace(accounts, "state-gallery", "city-museum");
@@ -241,12 +248,13 @@
   // Owner: sites.
   "data_centres": [
     // Old hall.
-  ], /* last */ "rollouts": []
+  ], /* last */ "rollouts": // none yet
+   []
 })");
   CHECK(texts.size() == 2);
   CHECK(texts[Section::kDataCentres] ==
         "// Owner: sites.\n  [\n    // Old hall.\n  ]\n");
-  CHECK(texts[Section::kRollouts] == "/* last */ []\n");
+  CHECK(texts[Section::kRollouts] == "/* last */ // none yet\n   []\n");
   CHECK_THROWS_AS(SplitDocument("d", "{\"rollouts\": [], \"x\": 1}"),
                   FindingsError);
   CHECK_THROWS_AS(SplitDocument("d", "[]"), FindingsError);
--- a/tests/unit/ctl/commands_test.cc
+++ b/tests/unit/ctl/commands_test.cc
@@ -62,6 +62,8 @@
   bool lose_reply = false;
   // Instance "b" does not take up new revisions.
   bool b_is_stuck = false;
+  // Instance "a" has no path to the table service.
+  bool a_is_cut_off = false;
   // Another operator's write that comes before the next one.
   std::string concurrent_text;
 
@@ -92,6 +94,9 @@
   }
 
   CallReply Put(const CallSpec& call) {
+    if (a_is_cut_off && call.address == "a") {
+      return {CallOutcome::kReplied, 503, R"({"error":{"code":"x"}})", ""};
+    }
     std::size_t slash = call.target.rfind('/');
     std::size_t question = call.target.find('?');
     SectionText& section =
@@ -281,11 +286,38 @@
   std::string wrong = WriteFile("[{\"model\": \"drafter\"}]");
   CHECK(RunThere({"apply", wrong, "--section", "rollouts", "--author", "x"}) ==
         ExitCode::kFindings);
+  // The places are those of the file.
+  std::string document = WriteFile(
+      "{ /* é */ \"models\": {},\n \"rollouts\": [{\"model\": \"x\"}]}");
+  CHECK(RunThere({"apply", document, "--section", "rollouts", "--author",
+                  "x"}) == ExitCode::kFindings);
+  CHECK(err_.str().find(document + ":2:25: /0/model: no model \"x\"") !=
+        std::string::npos);
   for (const CallSpec& call : system_.calls) {
     CHECK(call.method == "GET");
   }
 }
 
+// Guards against a change that fails because the first instance is cut off
+// from the table service.
+TEST_CASE_METHOD(CtlFixture, "a refused write goes elsewhere", "[ctl]") {
+  system_.a_is_cut_off = true;
+  CHECK(RunThere({"drain", "hu-central-c", "--author", "x"}) == ExitCode::kOk);
+  CHECK(system_.stored["data_centres"].revision == 6);
+  CHECK(Run({"drain", "hu-central-b", "--author", "x", "--instance", "a"}) ==
+        ExitCode::kFailure);
+}
+
+// Guards against text of a log that steers the terminal.
+TEST_CASE_METHOD(CtlFixture, "control characters are not printed", "[ctl]") {
+  std::string log = WriteFile(
+      "2026-12-04T08:00:01.000000Z FS1101 info request_refused instance=a "
+      "data_centre=dc detail=\"\\x1b[2J\\x0a\"\n");
+  CHECK(Run({"timeline", "--log", log}) == ExitCode::kOk);
+  CHECK(out_.str().find("\\x1b[2J\\x0a") != std::string::npos);
+  CHECK(out_.str().find('\x1b') == std::string::npos);
+}
+
 // Guards against edits of the wrong value, and against lost comments.
 TEST_CASE_METHOD(CtlFixture, "drain and restore edit one value", "[ctl]") {
   std::string before = system_.stored["data_centres"].text;
