Add the streaming HTTP server for callers

Cause: the core needs requests of callers, hang-ups while a caller waits, and answers that go out piece by piece. Change: Frontend runs libmicrohttpd in external polling mode on one epoll thread. Connections are suspended while the core has nothing to send; a second watch for the hang-up event on the same socket finds callers that leave. Bounds on connections, headers, body, time and buffered bytes are answered with the typed error where libmicrohttpd lets an answer through. A command of the core that finds the ring full cuts its caller, because the answer would have a gap. The address parser and listening socket are in src/common for the peer adapter.

--- a/src/common/common.h
+++ b/src/common/common.h
@@ -10,5 +10,6 @@
 #include "src/common/event_log.h"
 #include "src/common/finding.h"
 #include "src/common/ids.h"
+#include "src/common/tcp_socket.h"
 
 #endif  // SRC_COMMON_COMMON_H_
--- /dev/null
+++ b/src/common/tcp_socket.h
@@ -0,0 +1,35 @@
+// Addresses and listening sockets, shared by the adapters that listen.
+
+#ifndef SRC_COMMON_TCP_SOCKET_H_
+#define SRC_COMMON_TCP_SOCKET_H_
+
+#include <sys/socket.h>
+
+#include <string>
+
+namespace filbertshift {
+
+struct TcpAddress {
+  sockaddr_storage storage{};
+  socklen_t size = 0;
+
+  const sockaddr* get() const {
+    return reinterpret_cast<const sockaddr*>(&storage);
+  }
+};
+
+// Reads "127.0.0.1:80" or "[::1]:80"; names are not resolved. Throws
+// std::invalid_argument.
+TcpAddress ParseTcpAddress(const std::string& text);
+
+// Opens a non-blocking listening socket, which the caller owns. Throws
+// std::invalid_argument or std::system_error.
+int ListenTcp(const std::string& address);
+
+// The address that the socket is bound to, in the form of ParseTcpAddress.
+// Throws std::system_error.
+std::string BoundTcpAddress(int descriptor);
+
+}  // namespace filbertshift
+
+#endif  // SRC_COMMON_TCP_SOCKET_H_
