--- a/src/endpoint/endpoint_attempts.cc
+++ b/src/endpoint/endpoint_attempts.cc
@@ -2,6 +2,7 @@
 // and its outcome; and the evaluation of probes.
 
 #include <stdexcept>
+#include <string>
 #include <utility>
 
 #include "src/endpoint/endpoint_loop.h"
@@ -37,12 +38,19 @@
   return std::chrono::microseconds(first_byte - before);
 }
 
-std::string OutcomeDetail(CURLcode result, const ResponseReader& reader) {
+// The description of this error, or else of its kind.
+std::string ErrorText(CURLcode result, const Transfer& transfer) {
+  return transfer.error.front() != '\0' ? transfer.error.data()
+                                        : curl_easy_strerror(result);
+}
+
+std::string OutcomeDetail(CURLcode result, const Transfer& transfer) {
+  const ResponseReader& reader = *transfer.reader;
   if (reader.too_large()) {
     return "response is larger than the limit";
   }
   if (result != CURLE_OK) {
-    return curl_easy_strerror(result);
+    return ErrorText(result, transfer);
   }
   if (!reader.has_framing()) {
     return "response has neither Content-Length nor chunked encoding";
@@ -252,7 +260,8 @@
   Attempt* attempt = &attempts_.at(transfer->attempt);
   if (!probe.reachable) {
     std::string detail = "verification failed: ";
-    detail += result == CURLE_OK ? "invalid reply" : curl_easy_strerror(result);
+    detail +=
+        result == CURLE_OK ? "invalid reply" : ErrorText(result, *transfer);
     EndAttempt(attempt, AttemptOutcome::kNotSent, std::move(detail));
   } else if (probe.incarnation == attempt->spec.incarnation) {
     StartSend(attempt);
@@ -269,7 +278,7 @@
   } else if (transfer->refused) {
     StartVerification(attempt);
   } else {
-    EndAttempt(attempt, AttemptOutcome::kNotSent, curl_easy_strerror(result));
+    EndAttempt(attempt, AttemptOutcome::kNotSent, ErrorText(result, *transfer));
   }
 }
 
@@ -281,7 +290,7 @@
   if (outcome == AttemptOutcome::kComplete && !rest.empty()) {
     Push(AttemptData{attempt->spec.attempt, std::move(rest)});
   }
-  EndAttempt(attempt, outcome, OutcomeDetail(result, *transfer->reader));
+  EndAttempt(attempt, outcome, OutcomeDetail(result, *transfer));
 }
 
 void EndpointLoop::EndAttempt(Attempt* attempt,
--- a/src/endpoint/endpoint_loop.cc
+++ b/src/endpoint/endpoint_loop.cc
@@ -224,6 +224,10 @@
       socket(address.family, address.socktype | SOCK_CLOEXEC, address.protocol);
   if (descriptor >= 0) {
     connections_.Add(descriptor, transfer->endpoint, transfer->address);
+    // In use from now on, so that it is not shut down as an unverified idle one
+    // while it is being established.
+    connections_.Find(descriptor)->transfer = transfer->id;
+    transfer->descriptor = descriptor;
   }
   return descriptor;
 }
--- a/src/endpoint/transfer.cc
+++ b/src/endpoint/transfer.cc
@@ -133,6 +133,7 @@
   const std::string url = "http://" + transfer->address + target;
   curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
   curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+  curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, transfer->error.data());
   curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
--- a/src/endpoint/transfer.h
+++ b/src/endpoint/transfer.h
@@ -6,6 +6,7 @@
 
 #include <curl/curl.h>
 
+#include <array>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -50,6 +51,8 @@
   EventSplitter splitter;
   // Body of a probe reply.
   std::string probe_body;
+  // Written by libcurl; empty if it has no description.
+  std::array<char, CURL_ERROR_SIZE> error{};
   // The connection in use; -1 if there is none or it has been closed.
   int descriptor = -1;
   // Number of connections on which libcurl was about to write the request.
--- a/tests/unit/endpoint/endpoint_test.cc
+++ b/tests/unit/endpoint/endpoint_test.cc
@@ -170,6 +170,27 @@
   CHECK(endpoint.requests().size() == 2);
 }
 
+// Guards against a new connection that is shut down while it is established,
+// because another one has just been verified.
+TEST_CASE("endpoint client opens many connections at once", "[endpoint]") {
+  constexpr int kParallel = 100;
+  FakeEndpoint endpoint(kFirstLife,
+                        [](const TestSocket& socket, const std::string&) {
+                          std::this_thread::sleep_for(milliseconds(20));
+                          return socket.Write(kOkReply);
+                        });
+  Client client;
+  for (int i = 0; i < kParallel; ++i) {
+    client.Start("a" + std::to_string(i), endpoint);
+    std::this_thread::sleep_for(std::chrono::microseconds(200));
+  }
+  for (int i = 0; i < kParallel; ++i) {
+    const AttemptEnd end = client.TakeEnd();
+    INFO(end.attempt.value() << " " << end.detail);
+    CHECK(end.outcome == AttemptOutcome::kComplete);
+  }
+}
+
 // Guards against a restart that is only noticed while the request is sent: the
 // requests start right after the return, before any idle close is handled.
 TEST_CASE("endpoint client survives restarts under requests", "[endpoint]") {
--- a/tests/unit/support/loopback.cc
+++ b/tests/unit/support/loopback.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <strings.h>
 #include <sys/socket.h>
@@ -169,8 +170,12 @@
   if (!WaitReadable(listener.descriptor(), timeout)) {
     return TestSocket();
   }
-  return TestSocket(
+  TestSocket socket(
       accept4(listener.descriptor(), nullptr, nullptr, SOCK_CLOEXEC));
+  // As servers do; otherwise delayed acknowledgements add 40 ms.
+  const int on = 1;
+  setsockopt(socket.descriptor(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  return socket;
 }
 
 }  // namespace filbertshift
