--- a/src/common/common.h
+++ b/src/common/common.h
@@ -11,5 +11,6 @@
 #include "src/common/finding.h"
 #include "src/common/ids.h"
 #include "src/common/sha256.h"
+#include "src/common/tcp_socket.h"
 
 #endif  // SRC_COMMON_COMMON_H_
