Do not log a shutdown refusal as a passed bound

Cause: requests refused during a shutdown were logged as caller_connection_rejected, whose meaning is a bound passed by the caller. The endpoint client searched the Content-Type header again for each piece of a body. Change: no event for that refusal; the kind of body is kept with the transfer. A test covers callers that wait for an interim answer before the body.

--- a/src/endpoint/endpoint_attempts.cc
+++ b/src/endpoint/endpoint_attempts.cc
@@ -143,6 +143,7 @@
   }
   const bool complete = transfer->reader->AddHeaderLine(line);
   if (complete && transfer->kind == TransferKind::kSend) {
+    transfer->event_stream = transfer->reader->is_event_stream();
     AttemptHead head;
     head.attempt = transfer->attempt;
     head.http_status = transfer->reader->http_status();
@@ -162,9 +163,8 @@
   }
   AttemptData data;
   data.attempt = transfer->attempt;
-  data.bytes = transfer->reader->is_event_stream()
-                   ? transfer->splitter.Add(bytes)
-                   : std::string(bytes);
+  data.bytes = transfer->event_stream ? transfer->splitter.Add(bytes)
+                                      : std::string(bytes);
   if (!data.bytes.empty()) {
     Push(std::move(data));
   }
--- a/src/endpoint/transfer.h
+++ b/src/endpoint/transfer.h
@@ -48,6 +48,8 @@
   std::unique_ptr<CURL, EasyDeleter> easy;
   std::unique_ptr<curl_slist, HeaderListDeleter> header_list;
   std::optional<ResponseReader> reader;
+  // The response is a stream of events, which must not be split.
+  bool event_stream = false;
   EventSplitter splitter;
   // Body of a probe reply.
   std::string probe_body;
--- a/src/frontend/frontend_requests.cc
+++ b/src/frontend/frontend_requests.cc
@@ -125,8 +125,9 @@
       ReadRequestHeaders(exchange->connection);
   const std::size_t length = ContentLength(headers);
   if (draining_) {
-    Refuse(exchange, MakeError(MHD_HTTP_SERVICE_UNAVAILABLE, "shutting_down",
-                               "this instance is shutting down"));
+    // Not logged: the caller has passed no bound.
+    exchange->refusal = MakeError(MHD_HTTP_SERVICE_UNAVAILABLE, "shutting_down",
+                                  "this instance is shutting down");
   } else if (connection_count_ > options_.max_connections) {
     Refuse(exchange,
            MakeError(MHD_HTTP_SERVICE_UNAVAILABLE, "too_many_connections",
--- a/tests/unit/frontend/frontend_test.cc
+++ b/tests/unit/frontend/frontend_test.cc
@@ -74,6 +74,22 @@
   CHECK_FALSE(server.inbox.Take<CallerGone>(milliseconds(50)));
 }
 
+// Guards against callers that wait for an interim answer before the body, as
+// common clients do for large bodies.
+TEST_CASE("frontend asks for a body that is announced", "[frontend]") {
+  Server server;
+  const TestSocket caller = server.Connect();
+  caller.Write(
+      "POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
+      "Content-Length: 4\r\n\r\n");
+  CHECK(Contains(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 100"));
+  caller.Write("body");
+  const CallerRequest request = server.TakeRequest();
+  CHECK(request.body == "body");
+  server.AnswerShort(request.caller);
+  CHECK(Contains(caller.ReadMessage(), "HTTP/1.1 200"));
+}
+
 // Guards against an answer that is held back until its end.
 TEST_CASE("frontend streams the answer piece by piece", "[frontend]") {
   Server server;
@@ -379,6 +395,7 @@
   CHECK_THROWS(server.Connect());
   idle.Write(kRequest);
   CHECK(Contains(idle.ReadMessage(), "\"shutting_down\""));
+  CHECK(server.log.Count(EventId::kCallerConnectionRejected) == 0);
   std::thread core([&] {
     std::this_thread::sleep_for(milliseconds(100));
     server.frontend.SendBody(id, "second");
