--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -59,7 +59,11 @@
                ports_.peers,
                ports_.clock,
                ports_.log),
-      sessions_(SessionLedgerOptions(), table_calls_, ports_.peers, ports_.log),
+      sessions_(SessionLedgerOptions(),
+                table_calls_,
+                ports_.peers,
+                ports_.random,
+                ports_.log),
       jobs_(JobOptions(options_),
             table_calls_,
             object_calls_,
@@ -81,8 +85,7 @@
 Core::~Core() = default;
 
 void Core::Handle(CoreMessage message) {
-  std::visit([this](auto& typed) { On(std::move(typed)); },
-             message);
+  std::visit([this](auto& typed) { On(std::move(typed)); }, message);
   table_calls_.RunDeferred();
   object_calls_.RunDeferred();
   if (queue_changed_) {
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -71,6 +71,7 @@
 Daemon::Daemon(const ProcessSettings& settings)
     : settings_(settings),
       random_(settings.random_seed),
+      peer_random_(random_.Next()),
       incarnation_(
           fmt::format("{}-{:016x}", settings.instance.value(), random_.Next())),
       stderr_log_(clock_,
@@ -85,7 +86,7 @@
       frontend_(MakeFrontendOptions(settings), ring_, clock_, log_),
       endpoints_(EndpointClientOptions(), ring_, clock_),
       platform_(MakePlatformOptions(settings), ring_, log_),
-      peers_(MakePeerOptions(settings), ring_, clock_, random_, log_),
+      peers_(MakePeerOptions(settings), ring_, clock_, peer_random_, log_),
       admin_(MakeAdminOptions(settings), ring_, stderr_log_, registry_, ready_),
       core_(MakeCoreOptions(settings, incarnation_), MakePorts()) {
   admin_.Start();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -41,6 +41,8 @@
   const ProcessSettings settings_;
   SystemClock clock_;
   SystemRandom random_;
+  // Random numbers of the peer thread; generators are not thread-safe.
+  SystemRandom peer_random_;
   const std::string incarnation_;
   std::atomic<bool> ready_{false};
   std::atomic<bool> shutdown_requested_{false};
--- a/src/ledger/job_holder.cc
+++ b/src/ledger/job_holder.cc
@@ -84,7 +84,7 @@
 void JobHolder::Finish(const JobId& job,
                        JobState state,
                        const StoredAnswer& answer,
-                       const Charge& charge) {
+                       const std::optional<Charge>& charge) {
   auto found = claimed_.find(job);
   if (found == claimed_.end()) {
     return;
@@ -98,9 +98,7 @@
   claimed.finished_row.answer = answer;
   claimed.finished_row.answer.body.clear();
   claimed.finished_row.result = claimed.result_object;
-  if (!charge.id.empty()) {
-    claimed.finished_row.charge = charge;
-  }
+  claimed.finished_row.charge = charge;
   if (!claimed.in_flight) {
     PutResult(job);
   }
--- a/src/ledger/job_holder.h
+++ b/src/ledger/job_holder.h
@@ -56,7 +56,7 @@
   void Finish(const JobId& job,
               JobState state,
               const StoredAnswer& answer,
-              const Charge& charge);
+              const std::optional<Charge>& charge);
 
   // Ends claims whose lease has run out, renews the others, repeats writes.
   void Tick(TimePoint now);
--- a/src/ledger/job_ledger.cc
+++ b/src/ledger/job_ledger.cc
@@ -219,7 +219,7 @@
 void JobLedger::Finish(const JobId& job,
                        JobState state,
                        const StoredAnswer& answer,
-                       const Charge& charge) {
+                       const std::optional<Charge>& charge) {
   holder_.Finish(job, state, answer, charge);
 }
 
--- a/src/ledger/job_ledger.h
+++ b/src/ledger/job_ledger.h
@@ -56,7 +56,7 @@
 
   // Stores the answer as an object, then state and charge in one write that is
   // conditional on the claim. Retries while the lease holds; `on_lost` tells
-  // when it does not. A charge with an empty id is left out.
+  // when it does not.
   void Finish(const JobId& job,
               JobState state,
               const StoredAnswer& answer,
--- a/src/peer/message_queue.cc
+++ b/src/peer/message_queue.cc
@@ -1,7 +1,6 @@
 #include "src/peer/message_queue.h"
 
 #include <algorithm>
-#include <cstring>
 #include <utility>
 
 namespace filbertshift {
@@ -39,7 +38,7 @@
   while (count < max && !messages_.empty()) {
     const std::string& bytes = messages_.front().bytes;
     const std::size_t piece = std::min(max - count, bytes.size() - offset_);
-    std::memcpy(buffer + count, bytes.data() + offset_, piece);
+    std::copy_n(bytes.data() + offset_, piece, buffer + count);
     count += piece;
     offset_ += piece;
     if (offset_ == bytes.size()) {
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -20,6 +20,7 @@
   kChargeKept = 6,
   kChargeStored = 7,
   kSessionBound = 8,
+  kCandidateStopped = 9,
 };
 
 constexpr std::size_t kPrefixBytes = 4;
@@ -128,6 +129,15 @@
       .ToString();
 }
 
+std::string Encode(const PeerCandidateStopped& message) {
+  return Encoder(FrameType::kCandidateStopped, 4)
+      .Add(message.model)
+      .Add(message.version)
+      .Add(message.generation)
+      .Add(message.reason)
+      .ToString();
+}
+
 std::string Encode(const PeerMessage& message) {
   return std::visit([](const auto& item) { return Encode(item); }, message);
 }
@@ -240,6 +250,15 @@
   return PeerMessage(std::move(message));
 }
 
+PeerFrame DecodeCandidateStopped(Decoder fields) {
+  PeerCandidateStopped message;
+  fields.Take(&message.model)
+      .Take(&message.version)
+      .Take(&message.generation)
+      .Take(&message.reason);
+  return PeerMessage(std::move(message));
+}
+
 PeerFrame DecodeFields(Decoder fields) {
   std::uint32_t type = 0;
   fields.Take(&type);
@@ -262,6 +281,8 @@
       return DecodeChargeStored(fields);
     case FrameType::kSessionBound:
       return DecodeSessionBound(fields);
+    case FrameType::kCandidateStopped:
+      return DecodeCandidateStopped(fields);
   }
   throw PeerCodecError("unknown message type " + std::to_string(type));
 }
--- a/src/peer/peer_loop.cc
+++ b/src/peer/peer_loop.cc
@@ -355,7 +355,7 @@
              entry->instance.value() + ": " + reason);
 }
 
-void PeerLoop::Close(int descriptor, const std::string& reason) {
+void PeerLoop::Close(int descriptor, std::string reason) {
   auto found = connections_.find(descriptor);
   const InstanceId instance = found->second.instance;
   const bool outgoing =
@@ -369,7 +369,7 @@
   if (peer.up) {
     peer.up = false;
     ScheduleReconnect(&peer);
-    log_.Write(EventId::kPeerDown, instance.value() + ": " + reason);
+    log_.Write(EventId::kPeerDown, instance.value() + ": " + std::move(reason));
     Push(PeerDown{instance});
   }
 }
--- a/src/peer/peer_loop.h
+++ b/src/peer/peer_loop.h
@@ -93,7 +93,8 @@
   bool Deliver(Entry* entry);
   void MarkUp(Entry* entry);
   void Reject(Entry* entry, const std::string& reason);
-  void Close(int descriptor, const std::string& reason);
+  // `reason` is a copy because it may belong to the connection.
+  void Close(int descriptor, std::string reason);
   void RunTimers();
   std::vector<int> Descriptors() const;
 
--- a/src/routing/crash_quarantine.cc
+++ b/src/routing/crash_quarantine.cc
@@ -105,6 +105,14 @@
   }
 }
 
+std::vector<SuspectState> CrashQuarantine::All() const {
+  std::vector<SuspectState> all;
+  for (const auto& [fingerprint, state] : suspects_) {
+    all.push_back(state);
+  }
+  return all;
+}
+
 std::optional<SuspectState> CrashQuarantine::Find(
     Fingerprint fingerprint) const {
   const auto found = suspects_.find(fingerprint);
--- a/src/routing/retry_budget.cc
+++ b/src/routing/retry_budget.cc
@@ -18,6 +18,10 @@
   tokens_ = std::min(options_.capacity, tokens_ + options_.ratio);
 }
 
+void RetryBudget::Prepay(double share) {
+  tokens_ = std::min(options_.capacity, tokens_ + share);
+}
+
 bool RetryBudget::TryTake() {
   if (tokens_ < 1 - kRoundingTolerance) {
     return false;
--- a/tests/unit/peer/peer_codec_test.cc
+++ b/tests/unit/peer/peer_codec_test.cc
@@ -31,6 +31,8 @@
           PeerMessage(PeerChargeReplica{"charges/x/1", {"{}", "", "{}"}, 9}),
           PeerMessage(PeerChargeKept{"charges/x/1", 9}),
           PeerMessage(PeerChargeStored{"charges/x/1"}),
+          PeerMessage(PeerCandidateStopped{ModelId("m"), VersionId("v"), 2,
+                                           "12 of 20 answers bad"}),
           PeerMessage(PeerSessionBound{AccountId("a"), SessionId("s"),
                                        ModelId("m"), VersionId("v")})};
 }
