--- a/src/config/process_settings.cc
+++ b/src/config/process_settings.cc
@@ -113,6 +113,11 @@
                     kOptional, {milliseconds(50), minutes(1)},
                     "Time for which charges are collected before they are "
                     "written as one row."),
+      DurationField("share_transition", &S::share_transition, kOptional,
+                    {milliseconds(0), minutes(5)},
+                    "Time after a change of seats or limits in which the "
+                    "smaller of old and new share holds. Must not be shorter "
+                    "than the time in which a change reaches every instance."),
       DurationField("shutdown_timeout", &S::shutdown_timeout, kOptional,
                     {milliseconds(0), hours(24)},
                     "Time that requests in progress get after SIGTERM."),
--- a/src/config/process_settings.h
+++ b/src/config/process_settings.h
@@ -46,6 +46,7 @@
   std::chrono::milliseconds instance_list_poll_interval{1000};
   std::chrono::milliseconds probe_interval{1000};
   std::chrono::milliseconds charge_batch_interval{1000};
+  std::chrono::milliseconds share_transition{13000};
   std::chrono::milliseconds shutdown_timeout{600000};
 
   // 0 takes a seed from the operating system; the seed in use is logged.
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -21,6 +21,7 @@
   registry.own_data_centre = options.data_centre;
   registry.seat = options.seat;
   registry.policy = options.policy;
+  registry.share_transition = options.share_transition;
   return registry;
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -54,6 +54,7 @@
   std::chrono::milliseconds configuration_poll_interval{2000};
   std::chrono::milliseconds probe_interval{1000};
   std::chrono::milliseconds charge_batch_interval{1000};
+  std::chrono::milliseconds share_transition{13000};
   FailureDetectorOptions detector;
   RetryBudgetOptions retry_budget;
   RolloutMonitorOptions rollouts;
--- a/src/core/core_attempts.cc
+++ b/src/core/core_attempts.cc
@@ -524,6 +524,12 @@
   if (request.attempt.has_value()) {
     RunningAttempt& attempt = *request.attempt;
     attempt.timed_out = true;
+    // Without the silences that ended in a timeout the samples would be biased
+    // to short ones and the timeout would shrink under load.
+    detector_.Observe(
+        attempt.endpoint,
+        attempt.first_token ? DelayKind::kTokenGap : DelayKind::kFirstToken,
+        Micros(now - attempt.last_progress));
     registry_.Suspect(attempt.endpoint,
                       attempt.first_token ? "no next token" : "no first token");
     Probe(attempt.endpoint);
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -63,6 +63,7 @@
   options.configuration_poll_interval = settings.configuration_poll_interval;
   options.probe_interval = settings.probe_interval;
   options.charge_batch_interval = settings.charge_batch_interval;
+  options.share_transition = settings.share_transition;
   return options;
 }
 
--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -173,6 +173,7 @@
                    {"configuration_poll_interval", "500ms"},
                    {"probe_interval", "200ms"},
                    {"charge_batch_interval", "200ms"},
+                   {"share_transition", "300ms"},
                    {"log_severity", "debug"}};
   if (shape_.rating) {
     settings["rating_address"] = rating_.address;
--- /dev/null
+++ b/tests/unit/core/core_test.cc
@@ -0,0 +1,236 @@
+// Tests of the request life cycle under failures of endpoints and store.
+
+#include <catch2/catch.hpp>
+
+#include "tests/unit/core/core_fixture.h"
+
+namespace filbertshift {
+namespace {
+
+// Guards against an answer that is cut, doubled or mixed when an endpoint dies
+// after some tokens.
+TEST_CASE("an interrupted answer continues on another endpoint", "[core]") {
+  CoreFixture fixture;
+  CallerId caller = fixture.Chat("draft", true);
+  AttemptSpec first = fixture.LastAttempt();
+  fixture.Stream(first, {"one ", "two "});
+  fixture.Crash(first);
+  AttemptSpec second = fixture.LastAttempt();
+  REQUIRE(second.attempt != first.attempt);
+  CHECK(second.endpoint != first.endpoint);
+  nlohmann::json body = nlohmann::json::parse(second.body);
+  CHECK(body["continue_final_message"] == true);
+  CHECK(body["messages"].back()["content"] == "one two ");
+  fixture.Stream(second, {"three"});
+  fixture.EndStream(second);
+  fixture.Advance(std::chrono::seconds(2));
+  CHECK(fixture.StreamText(caller) == "one two three");
+  CHECK(fixture.Record(caller).finished);
+  CHECK(fixture.Record(caller).body.find("data: [DONE]") != std::string::npos);
+  CHECK(fixture.metrics.violations.empty());
+}
+
+// Guards against a stream that looks whole although no endpoint finished it.
+TEST_CASE("a stream without a last endpoint ends with an error", "[core]") {
+  CoreFixture fixture;
+  CallerId caller = fixture.Chat("draft", true);
+  AttemptSpec first = fixture.LastAttempt();
+  fixture.Stream(first, {"one "});
+  fixture.lives[EndpointId("e0")] = std::chrono::milliseconds(0);
+  fixture.lives[EndpointId("e1")] = std::chrono::milliseconds(0);
+  fixture.Crash(first);
+  fixture.Advance(std::chrono::seconds(31));
+  CHECK(fixture.Record(caller).finished);
+  CHECK(fixture.Record(caller).body.find("[DONE]") == std::string::npos);
+  CHECK(fixture.Record(caller).body.find("deadline_exceeded") !=
+        std::string::npos);
+}
+
+// Guards against the answer of another request reaching a caller.
+TEST_CASE("an answer with another attempt's id is dropped", "[core]") {
+  CoreFixture fixture;
+  CallerId caller = fixture.Chat("draft", true);
+  AttemptSpec first = fixture.LastAttempt();
+  fixture.Sent(first);
+  fixture.Head(
+      first, 200,
+      {{"Content-Type", "text/event-stream"}, {"X-Request-Id", "r-other.1"}});
+  fixture.core.Handle(AttemptData{
+      first.attempt,
+      "data: {\"choices\":[{\"delta\":{\"content\":\"foreign\"}}]}\n\n"});
+  fixture.End(first, AttemptOutcome::kCancelled);
+  AttemptSpec second = fixture.LastAttempt();
+  fixture.Stream(second, {"own"});
+  fixture.EndStream(second);
+  fixture.Advance(std::chrono::seconds(2));
+  CHECK(fixture.StreamText(caller) == "own");
+}
+
+// Guards against a second execution of a call that may have taken effect, on
+// the first try and on a later one with the same key.
+TEST_CASE("a broken non-repeatable call is never sent again", "[core]") {
+  CoreFixture fixture;
+  CallerId caller = fixture.Post("/invoices", "k1", "{}");
+  AttemptSpec attempt = fixture.LastAttempt();
+  fixture.Sent(attempt);
+  fixture.End(attempt, AttemptOutcome::kBroken);
+  fixture.Advance(std::chrono::seconds(2));
+  CHECK(fixture.ErrorField(caller, "run") == "unknown");
+  std::size_t attempts = fixture.endpoints.started.size();
+  CallerId again = fixture.Post("/invoices", "k1", "{}");
+  fixture.Advance(std::chrono::seconds(31));
+  CHECK(fixture.endpoints.started.size() == attempts);
+  CHECK(fixture.Record(again).http_status == 409);
+  CHECK(fixture.ErrorField(again, "run") == "unknown");
+}
+
+// Guards against a repeated invoice when the first answer got lost on its way
+// to the caller.
+TEST_CASE("a finished non-repeatable call is replayed", "[core]") {
+  CoreFixture fixture;
+  CallerId caller = fixture.Post("/invoices", "k1", "{}");
+  AttemptSpec attempt = fixture.LastAttempt();
+  fixture.Sent(attempt);
+  fixture.Head(attempt, 201, {{"Content-Type", "application/json"}});
+  fixture.core.Handle(AttemptData{attempt.attempt, "{\"number\":7}"});
+  fixture.End(attempt, AttemptOutcome::kComplete);
+  CHECK(fixture.Record(caller).http_status == 201);
+  std::size_t attempts = fixture.endpoints.started.size();
+  CallerId again = fixture.Post("/invoices", "k1", "{}");
+  CHECK(fixture.endpoints.started.size() == attempts);
+  CHECK(fixture.Record(again).http_status == 201);
+  CHECK(fixture.Record(again).body == "{\"number\":7}");
+  CallerId other = fixture.Post("/invoices", "k1", "{\"other\":1}");
+  CHECK(fixture.Record(other).http_status == 422);
+}
+
+// Guards against a refusal that claims `not_run` for a call that was sent, and
+// against a call that is sent without a durable record.
+TEST_CASE("without the store a non-repeatable call is not sent", "[core]") {
+  CoreFixture fixture;
+  fixture.client.down = true;
+  CallerId caller = fixture.Post("/invoices", "k1", "{}");
+  fixture.Advance(std::chrono::seconds(2));
+  CHECK(fixture.endpoints.started.empty());
+  CHECK(fixture.Record(caller).http_status == 503);
+  CHECK(fixture.ErrorField(caller, "run") == "not_run");
+}
+
+// Guards against lookups that fail because bookkeeping is not possible.
+TEST_CASE("without the store a chat request is answered", "[core]") {
+  CoreFixture fixture;
+  fixture.client.down = true;
+  CallerId caller = fixture.Chat("lookup", true);
+  AttemptSpec attempt = fixture.LastAttempt();
+  fixture.Stream(attempt, {"found"});
+  fixture.EndStream(attempt);
+  fixture.Advance(std::chrono::seconds(2));
+  CHECK(fixture.StreamText(caller) == "found");
+  CHECK(fixture.Record(caller).finished);
+  fixture.client.down = false;
+  fixture.Advance(std::chrono::seconds(10));
+  CHECK(fixture.store.Count("charges/") == 1);
+}
+
+// Guards against a request that takes down one endpoint after another.
+TEST_CASE("a request that crashes two endpoints is blocked", "[core]") {
+  CoreFixture fixture;
+  CallerId caller = fixture.Chat("crash", true);
+  AttemptSpec first = fixture.LastAttempt();
+  fixture.Sent(first);
+  fixture.Crash(first);
+  AttemptSpec second = fixture.LastAttempt();
+  REQUIRE(second.attempt != first.attempt);
+  fixture.Sent(second);
+  fixture.Crash(second);
+  CHECK(fixture.ErrorField(caller, "code") == "request_crashes_endpoints");
+  CHECK(fixture.ErrorField(caller, "run") == "run");
+  fixture.Restart(first.endpoint);
+  fixture.Restart(second.endpoint);
+  std::size_t attempts = fixture.endpoints.started.size();
+  CallerId again = fixture.Chat("crash", true);
+  CHECK(fixture.endpoints.started.size() == attempts);
+  CHECK(fixture.ErrorField(again, "code") == "request_crashes_endpoints");
+  CHECK(fixture.ErrorField(again, "run") == "not_run");
+}
+
+// Guards against an innocent request that is blamed because its endpoint was
+// lost by a broken connection alone.
+TEST_CASE("a broken connection to a living endpoint blames nobody", "[core]") {
+  CoreFixture fixture;
+  fixture.Chat("draft", true);
+  AttemptSpec first = fixture.LastAttempt();
+  fixture.Sent(first);
+  fixture.End(first, AttemptOutcome::kBroken);
+  fixture.AnswerProbes();
+  CHECK(fixture.log.counts[EventId::kRequestSuspected] == 0);
+  CHECK(fixture.LastAttempt().attempt != first.attempt);
+}
+
+// Guards against new work on a version that is withdrawn while requests wait.
+TEST_CASE("waiting requests leave a withdrawn version", "[core]") {
+  CoreFixture fixture;
+  // Both endpoints bear 4 attempts each; the ninth request waits.
+  for (int i = 0; i < 8; ++i) {
+    fixture.Chat("fill " + std::to_string(i), true);
+  }
+  REQUIRE(fixture.endpoints.started.size() == 8);
+  CallerId waiting = fixture.Chat("waits", true);
+  REQUIRE(fixture.endpoints.started.size() == 8);
+  fixture.models_section["models"][0]["versions"][0]["withdrawn"] = true;
+  fixture.PutSection("models", fixture.models_section);
+  AttemptSpec first = fixture.endpoints.started.front();
+  fixture.Stream(first, {"x"});
+  fixture.EndStream(first);
+  fixture.Advance(std::chrono::seconds(31));
+  // No endpoint serves v2, so the request must end unserved and not run.
+  CHECK(fixture.endpoints.started.size() == 8);
+  CHECK(fixture.ErrorField(waiting, "run") == "not_run");
+}
+
+// Guards against a silent endpoint that holds a request until its deadline.
+TEST_CASE("a silent endpoint is suspected and the request moves", "[core]") {
+  CoreFixture fixture;
+  fixture.Chat("draft", true);
+  AttemptSpec first = fixture.LastAttempt();
+  fixture.Sent(first);
+  fixture.Advance(std::chrono::seconds(16));
+  REQUIRE(fixture.endpoints.cancelled.size() == 1);
+  fixture.End(first, AttemptOutcome::kCancelled);
+  CHECK(fixture.LastAttempt().endpoint != first.endpoint);
+}
+
+// Guards against engine time that is spent for a caller who has gone.
+TEST_CASE("a caller that hangs up cancels its attempt", "[core]") {
+  CoreFixture fixture;
+  CallerId caller = fixture.Chat("draft", true);
+  AttemptSpec attempt = fixture.LastAttempt();
+  fixture.Stream(attempt, {"one "});
+  fixture.core.Handle(CallerGone{caller});
+  REQUIRE(fixture.endpoints.cancelled.size() == 1);
+  fixture.End(attempt, AttemptOutcome::kCancelled);
+  fixture.Advance(std::chrono::seconds(2));
+  // What was generated is charged, once.
+  CHECK(fixture.store.Count("charges/") == 1);
+}
+
+// Guards against a shutdown that cuts a request or takes a new one.
+TEST_CASE("a shutdown finishes what was accepted", "[core]") {
+  CoreFixture fixture;
+  CallerId caller = fixture.Chat("draft", true);
+  AttemptSpec attempt = fixture.LastAttempt();
+  fixture.Stream(attempt, {"one "});
+  fixture.core.Handle(ShutdownRequested());
+  CallerId late = fixture.Chat("late", true);
+  CHECK(fixture.ErrorField(late, "run") == "not_run");
+  fixture.Advance(std::chrono::seconds(1));
+  CHECK_FALSE(fixture.core.IsDrained());
+  fixture.Stream(attempt, {"two"});
+  fixture.EndStream(attempt);
+  fixture.Advance(std::chrono::seconds(2));
+  CHECK(fixture.StreamText(caller) == "one two");
+  CHECK(fixture.core.IsDrained());
+}
+
+}  // namespace
+}  // namespace filbertshift
