Check endpoint addresses and make randomised tests repeatable

Cause: an address that is not an IP number and a port could make libcurl resolve a name or read more of the URL than was meant, and a probe with timeout zero would never end. Randomised tests printed their seed, but could not take one. Change: such addresses are refused before any use of libcurl; a probe without a timeout uses the default connect timeout. FILBERTSHIFT_TEST_SEED sets the seed.

--- a/src/endpoint/endpoint_attempts.cc
+++ b/src/endpoint/endpoint_attempts.cc
@@ -79,6 +79,11 @@
                "the required incarnation is unknown");
     return;
   }
+  if (!IsTcpAddress(attempt->spec.address)) {
+    EndAttempt(attempt, AttemptOutcome::kNotSent,
+               "the address of the endpoint is not valid");
+    return;
+  }
   StartSend(attempt);
 }
 
--- a/src/endpoint/endpoint_loop.cc
+++ b/src/endpoint/endpoint_loop.cc
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <stdexcept>
 #include <system_error>
 #include <thread>
 #include <utility>
@@ -64,6 +65,15 @@
 
 }  // namespace
 
+bool IsTcpAddress(const std::string& address) {
+  try {
+    ParseTcpAddress(address);
+    return true;
+  } catch (const std::invalid_argument&) {
+    return false;
+  }
+}
+
 EndpointLoop::EndpointLoop(const EndpointClientOptions& options,
                            CoreRing& core_ring,
                            const Clock& clock)
@@ -300,9 +310,19 @@
 }
 
 void EndpointLoop::Execute(const ProbeCommand& command) {
+  if (!IsTcpAddress(command.address)) {
+    ProbeResult result;
+    result.endpoint = command.endpoint;
+    Push(std::move(result));
+    return;
+  }
   Transfer* transfer =
       AddTransfer(TransferKind::kProbe, command.endpoint, command.address);
-  PrepareProbe(transfer, command.timeout, options_.max_probe_bytes, false);
+  // libcurl takes zero for no timeout at all.
+  const auto timeout = command.timeout.count() > 0
+                           ? command.timeout
+                           : options_.default_connect_timeout;
+  PrepareProbe(transfer, timeout, options_.max_probe_bytes, false);
   StartTransfer(transfer);
 }
 
--- a/src/endpoint/endpoint_loop.h
+++ b/src/endpoint/endpoint_loop.h
@@ -41,6 +41,10 @@
                                      ForgetCommand,
                                      StopCommand>;
 
+// Whether it is an IP number and a port. Anything else could make libcurl
+// resolve a name or read more of the URL than was meant.
+bool IsTcpAddress(const std::string& address);
+
 struct MultiDeleter {
   void operator()(CURLM* multi) const { curl_multi_cleanup(multi); }
 };
--- a/tests/unit/endpoint/endpoint_test.cc
+++ b/tests/unit/endpoint/endpoint_test.cc
@@ -10,6 +10,7 @@
 #include "src/endpoint/endpoint.h"
 #include "tests/unit/endpoint/fake_endpoint.h"
 #include "tests/unit/support/core_inbox.h"
+#include "tests/unit/support/test_seed.h"
 
 namespace filbertshift {
 namespace {
@@ -255,7 +256,7 @@
 TEST_CASE("endpoint client writes only to verified connections", "[endpoint]") {
   constexpr int kRounds = 8;
   constexpr int kParallel = 20;
-  const std::uint64_t seed = SystemRandom(0).Next();
+  const std::uint64_t seed = TestSeed();
   INFO("seed " << seed);
   std::atomic<std::uint64_t> count{seed};
   FakeEndpoint endpoint(
@@ -456,6 +457,29 @@
   CHECK(std::chrono::steady_clock::now() - start < milliseconds(1000));
 }
 
+// Guards against an address that makes the client resolve a name or send to
+// another target, and against a probe without an end.
+TEST_CASE("endpoint client refuses addresses that are not IP and port",
+          "[endpoint]") {
+  const std::string address =
+      GENERATE("", "localhost:80", "127.0.0.1", "127.0.0.1:99999",
+               "user@127.0.0.1:80", "127.0.0.1:80/x");
+  Client client;
+  client.client.Probe(TestedEndpoint(), address, milliseconds(0));
+  auto probe = client.inbox.Take<ProbeResult>();
+  REQUIRE(probe);
+  CHECK_FALSE(probe->reachable);
+  AttemptSpec spec;
+  spec.attempt = AttemptId("a1");
+  spec.address = address;
+  spec.method = "GET";
+  spec.target = "/";
+  spec.incarnation = kFirstLife;
+  const bool started = client.client.Start(std::move(spec));
+  REQUIRE(started);
+  CHECK(client.TakeEnd().outcome == AttemptOutcome::kNotSent);
+}
+
 // Guards against connections that stay open to an endpoint that has left.
 TEST_CASE("endpoint client closes idle connections on Forget", "[endpoint]") {
   FakeEndpoint endpoint(kFirstLife, Reply(kOkReply, true));
--- a/tests/unit/endpoint/event_splitter_test.cc
+++ b/tests/unit/endpoint/event_splitter_test.cc
@@ -7,6 +7,7 @@
 #include "src/common/common.h"
 #include "src/endpoint/event_splitter.h"
 #include "src/endpoint/metrics_text.h"
+#include "tests/unit/support/test_seed.h"
 
 namespace filbertshift {
 namespace {
@@ -37,7 +38,7 @@
 
 // Guards against bytes that are lost or added by any division of the stream.
 TEST_CASE("event splitter keeps every byte", "[endpoint]") {
-  SystemRandom random(0);
+  SystemRandom random(TestSeed());
   INFO("seed " << random.seed());
   constexpr std::string_view kAlphabet = "a\n\r";
   for (int round = 0; round < 500; ++round) {
--- a/tests/unit/frontend/frontend_test.cc
+++ b/tests/unit/frontend/frontend_test.cc
@@ -10,6 +10,7 @@
 #include "tests/unit/support/core_inbox.h"
 #include "tests/unit/support/loopback.h"
 #include "tests/unit/support/recording_event_log.h"
+#include "tests/unit/support/test_seed.h"
 
 namespace filbertshift {
 namespace {
@@ -411,7 +412,7 @@
 // Guards against a server that stops serving after malformed input.
 TEST_CASE("frontend survives malformed input", "[frontend]") {
   Server server;
-  SystemRandom random(0);
+  SystemRandom random(TestSeed());
   INFO("seed " << random.seed());
   constexpr std::string_view kPieces[] = {"GET / HTTP/1.1\r\n",
                                           "Host: x\r\n",
--- a/tests/unit/peer/peer_codec_test.cc
+++ b/tests/unit/peer/peer_codec_test.cc
@@ -7,6 +7,7 @@
 
 #include "src/common/common.h"
 #include "src/peer/peer_codec.h"
+#include "tests/unit/support/test_seed.h"
 
 namespace filbertshift {
 namespace {
@@ -94,7 +95,7 @@
 
 // Guards against a crash or a wrong exception on random input.
 TEST_CASE("peer codec survives random input", "[peer]") {
-  SystemRandom random(0);
+  SystemRandom random(TestSeed());
   INFO("seed " << random.seed());
   const std::vector<PeerFrame> frames = SampleFrames();
   for (int round = 0; round < 100'000; ++round) {
--- a/tests/unit/peer/peer_test.cc
+++ b/tests/unit/peer/peer_test.cc
@@ -12,6 +12,7 @@
 #include "tests/unit/support/core_inbox.h"
 #include "tests/unit/support/loopback.h"
 #include "tests/unit/support/recording_event_log.h"
+#include "tests/unit/support/test_seed.h"
 
 namespace filbertshift {
 namespace {
@@ -217,7 +218,7 @@
 // Guards against a crash on random bytes at every layer.
 TEST_CASE("peer mesh survives random input", "[peer]") {
   Instance a("a");
-  SystemRandom random(0);
+  SystemRandom random(TestSeed());
   INFO("seed " << random.seed());
   const std::string hello = EncodePeerFrame(PeerHello{InstanceId("evil")});
   for (int round = 0; round < 300; ++round) {
