--- a/src/policy/cascade_policy.cc
+++ b/src/policy/cascade_policy.cc
@@ -19,8 +19,7 @@
 
 }  // namespace
 
-CascadePolicy::CascadePolicy(CascadeOptions options)
-    : options_(std::move(options)) {}
+CascadePolicy::CascadePolicy(CascadeOptions options) : options_(options) {}
 
 std::size_t CascadePolicy::Start(const QualityClass& quality_class,
                                  const AccountId& account,
--- a/tests/unit/core/core_fixture.cc
+++ b/tests/unit/core/core_fixture.cc
@@ -197,8 +197,7 @@
     while (!client.inbox.empty()) {
       auto reply = std::move(client.inbox.front());
       client.inbox.pop_front();
-      std::visit([this](auto&& typed) { core.Handle(std::move(typed)); },
-                 std::move(reply));
+      std::visit([this](auto& typed) { core.Handle(std::move(typed)); }, reply);
     }
   }
 }
