--- a/emulator/proxy/proxy_flow.cc
+++ b/emulator/proxy/proxy_flow.cc
@@ -2,14 +2,16 @@
 
 #include <sys/socket.h>
 
+#include <array>
 #include <cerrno>
+#include <string>
 #include <utility>
 
 namespace filbertshift::emulator {
 
 namespace {
 
-constexpr std::size_t kReadBytes = 65'536;
+constexpr std::size_t kReadBytes = 16'384;
 // Beyond this the source is not read, so that it feels backpressure.
 constexpr std::size_t kMaxQueuedBytes = 524'288;
 
@@ -19,13 +21,15 @@
                            Time now,
                            std::chrono::milliseconds delay) {
   while (wants_read()) {
-    std::string bytes(kReadBytes, '\0');
-    const ssize_t count = recv(source, bytes.data(), bytes.size(), 0);
+    std::array<char, kReadBytes> buffer;
+    const ssize_t count = recv(source, buffer.data(), buffer.size(), 0);
     if (count < 0) {
       const bool retry = errno == EAGAIN || errno == EINTR;
       return retry ? FlowResult::kOk : FlowResult::kReset;
     }
-    bytes.resize(static_cast<std::size_t>(count));
+    // Blocks hold no more memory than their bytes, because with a delay many
+    // small ones wait on each connection.
+    std::string bytes(buffer.data(), static_cast<std::size_t>(count));
     ended_ = count == 0;
     bytes_read_ += bytes.size();
     queued_bytes_ += bytes.size();
