--- a/emulator/http/faulty_service.cc
+++ b/emulator/http/faulty_service.cc
@@ -12,7 +12,9 @@
   return ErrorResponse(503, "throttled");
 }
 
-void FaultyService::ReadControl(ControlReader*) {}
+std::function<void()> FaultyService::ReadControl(ControlReader*) {
+  return [] {};
+}
 
 HttpResponse FaultyService::HandleControl(const HttpRequest& request) {
   if (request.path != "/_control") {
@@ -20,8 +22,9 @@
   }
   const Availability before = gate_.settings().availability;
   ControlReader control(request.body);
-  ReadControl(&control);
+  const std::function<void()> put_in_force = ReadControl(&control);
   gate_.Apply(&control);
+  put_in_force();
   const Availability after = gate_.settings().availability;
   if (after == Availability::kRefusing && before != after) {
     TakeDown();
--- a/emulator/http/faulty_service.h
+++ b/emulator/http/faulty_service.h
@@ -4,6 +4,8 @@
 #ifndef EMULATOR_HTTP_FAULTY_SERVICE_H_
 #define EMULATOR_HTTP_FAULTY_SERVICE_H_
 
+#include <functional>
+
 #include "emulator/http/emulated_service.h"
 #include "emulator/http/fault_gate.h"
 
@@ -20,8 +22,9 @@
   virtual HttpResponse UnavailableResponse() const;
   virtual HttpResponse ThrottledResponse() const;
 
-  // Reads further keys of a control request. ControlReader::Finish follows.
-  virtual void ReadControl(ControlReader* control);
+  // Reads further keys of a control request. The function that is returned
+  // puts them in force; it is called if the whole request is valid.
+  virtual std::function<void()> ReadControl(ControlReader* control);
   // Answers paths such as /_history.
   virtual HttpResponse Inspect(const HttpRequest& request) = 0;
 
--- a/emulator/instances/instance_list_service.cc
+++ b/emulator/instances/instance_list_service.cc
@@ -1,5 +1,6 @@
 #include "emulator/instances/instance_list_service.h"
 
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -56,16 +57,26 @@
   return JsonResponse(200, list_.VisibleAt(std::chrono::steady_clock::now()));
 }
 
-void InstanceListService::ReadControl(ControlReader* control) {
-  std::lock_guard<std::mutex> lock(mutex_);
-  std::chrono::milliseconds lag{0};
-  if (control->ReadDuration("lag_ms", &lag)) {
-    list_.set_lag(lag);
+std::function<void()> InstanceListService::ReadControl(ControlReader* control) {
+  std::optional<std::chrono::milliseconds> lag;
+  std::optional<bool> stale;
+  std::chrono::milliseconds lag_value{0};
+  if (control->ReadDuration("lag_ms", &lag_value)) {
+    lag = lag_value;
   }
-  bool stale = false;
-  if (control->Read("stale", &stale)) {
-    list_.set_stale(stale, std::chrono::steady_clock::now());
+  bool stale_value = false;
+  if (control->Read("stale", &stale_value)) {
+    stale = stale_value;
   }
+  return [this, lag, stale] {
+    std::lock_guard<std::mutex> lock(mutex_);
+    if (lag) {
+      list_.set_lag(*lag);
+    }
+    if (stale) {
+      list_.set_stale(*stale, std::chrono::steady_clock::now());
+    }
+  };
 }
 
 HttpResponse InstanceListService::Inspect(const HttpRequest& request) {
--- a/emulator/rating/rating_service.cc
+++ b/emulator/rating/rating_service.cc
@@ -33,9 +33,14 @@
   }
 }
 
-void RatingService::ReadControl(ControlReader* control) {
+std::function<void()> RatingService::ReadControl(ControlReader* control) {
   std::lock_guard<std::mutex> lock(mutex_);
-  scores_.Apply(control);
+  ScoreTable changed = scores_;
+  changed.Apply(control);
+  return [this, changed] {
+    std::lock_guard<std::mutex> force_lock(mutex_);
+    scores_ = changed;
+  };
 }
 
 HttpResponse RatingService::Inspect(const HttpRequest& request) {
--- a/emulator/rating/rating_service.h
+++ b/emulator/rating/rating_service.h
@@ -26,7 +26,7 @@
  protected:
   HttpResponse Execute(const HttpRequest& request) override;
   bool IsWrite(const HttpRequest& request) const override;
-  void ReadControl(ControlReader* control) override;
+  std::function<void()> ReadControl(ControlReader* control) override;
   HttpResponse Inspect(const HttpRequest& request) override;
 
  private:
