--- a/emulator/http/faulty_service.cc
+++ b/emulator/http/faulty_service.cc
@@ -20,8 +20,13 @@
   if (request.path != "/_control") {
     return Inspect(request);
   }
+  ApplyControl(request.body);
+  return JsonResponse(200, Json{{"ok", true}});
+}
+
+void FaultyService::ApplyControl(const std::string& body) {
   const Availability before = gate_.settings().availability;
-  ControlReader control(request.body);
+  ControlReader control(body);
   const std::function<void()> put_in_force = ReadControl(&control);
   gate_.Apply(&control);
   put_in_force();
@@ -32,7 +37,6 @@
   if (before == Availability::kRefusing && before != after) {
     BringUp();
   }
-  return JsonResponse(200, Json{{"ok", true}});
 }
 
 void FaultyService::HandleRequest(ExchangeId exchange, HttpRequest request) {
--- a/emulator/http/faulty_service.h
+++ b/emulator/http/faulty_service.h
@@ -5,6 +5,7 @@
 #define EMULATOR_HTTP_FAULTY_SERVICE_H_
 
 #include <functional>
+#include <string>
 
 #include "emulator/http/emulated_service.h"
 #include "emulator/http/fault_gate.h"
@@ -15,6 +16,10 @@
  public:
   using EmulatedService::EmulatedService;
 
+  // Applies the body of a control request. Throws ControlError, with nothing
+  // changed.
+  void ApplyControl(const std::string& body);
+
  protected:
   // Runs on the scheduler thread, one request at a time.
   virtual HttpResponse Execute(const HttpRequest& request) = 0;
--- a/emulator/main/command.cc
+++ b/emulator/main/command.cc
@@ -62,6 +62,24 @@
   }
 }
 
+void AddFaultOption(options::options_description* description) {
+  description->add_options()(
+      "faults", options::value<std::string>(),
+      "JSON object as for POST /_control, such as {\"delay_ms\":5}");
+}
+
+void ApplyFaultOption(const options::variables_map& values,
+                      FaultyService* service) {
+  if (values.count("faults") == 0) {
+    return;
+  }
+  try {
+    service->ApplyControl(values["faults"].as<std::string>());
+  } catch (const ControlError& error) {
+    throw UsageError(std::string("--faults: ") + error.what());
+  }
+}
+
 Json ReadJsonFile(const std::string& path) {
   std::ifstream file(path);
   if (!file) {
--- a/emulator/main/command.h
+++ b/emulator/main/command.h
@@ -48,6 +48,12 @@
 // Reads a JSON file with comments. Throws UsageError.
 Json ReadJsonFile(const std::string& path);
 
+// Adds the option --faults, for services with the common control keys.
+void AddFaultOption(boost::program_options::options_description* options);
+// Throws UsageError.
+void ApplyFaultOption(const boost::program_options::variables_map& values,
+                      FaultyService* service);
+
 // Starts the service, prints its addresses and waits for SIGINT or SIGTERM.
 int Serve(EmulatedService* service);
 
--- a/emulator/main/instances_command.cc
+++ b/emulator/main/instances_command.cc
@@ -7,6 +7,7 @@
   namespace options = boost::program_options;
   options::options_description description("filbertshift-emulator instances");
   AddPortOptions(&description);
+  AddFaultOption(&description);
   description.add_options()("instances", options::value<std::string>(),
                             "JSON file with the first list");
   options::variables_map values;
@@ -18,6 +19,7 @@
     list = ReadJsonFile(values["instances"].as<std::string>());
   }
   InstanceListService service(ReadPorts(values), list);
+  ApplyFaultOption(values, &service);
   return Serve(&service);
 }
 
--- a/emulator/main/rating_command.cc
+++ b/emulator/main/rating_command.cc
@@ -7,6 +7,7 @@
   namespace options = boost::program_options;
   options::options_description description("filbertshift-emulator rating");
   AddPortOptions(&description);
+  AddFaultOption(&description);
   description.add_options()("scores", options::value<std::string>(),
                             "JSON file with the scores, noise and seed");
   options::variables_map values;
@@ -19,6 +20,7 @@
   }
   try {
     RatingService service(ReadPorts(values), settings);
+    ApplyFaultOption(values, &service);
     return Serve(&service);
   } catch (const ControlError& error) {
     throw UsageError(error.what());
