--- a/emulator/http/faulty_service.cc
+++ b/emulator/http/faulty_service.cc
@@ -12,16 +12,24 @@
   return ErrorResponse(503, "throttled");
 }
 
-void FaultyService::ReadControl(ControlReader*) {}
+std::function<void()> FaultyService::ReadControl(ControlReader*) {
+  return [] {};
+}
 
 HttpResponse FaultyService::HandleControl(const HttpRequest& request) {
   if (request.path != "/_control") {
     return Inspect(request);
   }
+  ApplyControl(request.body);
+  return JsonResponse(200, Json{{"ok", true}});
+}
+
+void FaultyService::ApplyControl(const std::string& body) {
   const Availability before = gate_.settings().availability;
-  ControlReader control(request.body);
-  ReadControl(&control);
+  ControlReader control(body);
+  const std::function<void()> put_in_force = ReadControl(&control);
   gate_.Apply(&control);
+  put_in_force();
   const Availability after = gate_.settings().availability;
   if (after == Availability::kRefusing && before != after) {
     TakeDown();
@@ -29,7 +37,6 @@
   if (before == Availability::kRefusing && before != after) {
     BringUp();
   }
-  return JsonResponse(200, Json{{"ok", true}});
 }
 
 void FaultyService::HandleRequest(ExchangeId exchange, HttpRequest request) {
