--- a/src/ledger/job_holder.cc
+++ b/src/ledger/job_holder.cc
@@ -36,6 +36,10 @@
 void JobHolder::Add(const JobRow& row,
                     std::uint64_t row_version,
                     TimePoint sent) {
+  // A new claim of this instance ends an older one of the same job.
+  if (Holds(row.job)) {
+    Lose(row.job);
+  }
   Claimed& claimed = claimed_[row.job];
   claimed.row = row;
   claimed.row_version = row_version;
--- a/src/ledger/session_ledger.h
+++ b/src/ledger/session_ledger.h
@@ -54,8 +54,8 @@
   // `proposed` is bound if the session is new. `replacement` takes a session
   // whose version `withdrawn` is true for. Without the table service a cached
   // binding holds unless its version is withdrawn; an unknown session gets
-  // kUnavailable. With a cached binding the callback runs before Resolve
-  // returns.
+  // kUnavailable. Both functions are kept until the callback. With a cached
+  // binding the callback runs before Resolve returns.
   void Resolve(const SessionKey& key,
                const VersionId& proposed,
                const std::function<bool(const VersionId&)>& withdrawn,
