Check times without std::regex

Cause: std::regex makes GCC 12 warn with -Wmaybe-uninitialized when sanitizers are on, and the pattern stood in two places.

Change: IsUtcTimePrefix in src/config checks the form for the operator interface and the tool.

Measured: unit_tests [config], [admin] and [ctl] pass.

--- a/src/admin/admin_router.cc
+++ b/src/admin/admin_router.cc
@@ -239,7 +239,7 @@
   selection.request = RequestId(query.param("request"));
   selection.endpoint = EndpointId(query.param("endpoint"));
   selection.since = query.param("since");
-  if (!selection.since.empty() && !IsTimePrefix(selection.since)) {
+  if (!selection.since.empty() && !IsUtcTimePrefix(selection.since)) {
     throw BadCall(400, "invalid_parameter",
                   "parameter \"since\" must be a UTC time as in "
                   "2026-12-04T08:00:00Z, or its leading part");
--- a/src/admin/event_query.cc
+++ b/src/admin/event_query.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <regex>
 
 namespace filbertshift {
 
@@ -36,12 +35,6 @@
 
 }  // namespace
 
-bool IsTimePrefix(const std::string& text) {
-  static const std::regex kPattern(
-      R"(\d{4}-\d\d-\d\d(T\d\d(:\d\d(:\d\d(\.\d{1,6})?)?)?)?Z?)");
-  return std::regex_match(text, kPattern);
-}
-
 std::string SelectEvents(const std::vector<EventRecord>& events,
                          const EventQuery& query,
                          const InstanceId& instance,
--- a/src/admin/event_query.h
+++ b/src/admin/event_query.h
@@ -15,15 +15,12 @@
   // Empty fields select everything.
   RequestId request;
   EndpointId endpoint;
-  // UTC time as in the log lines, or a leading part of it from the date on.
+  // Accepted by IsUtcTimePrefix, or empty.
   std::string since;
   // The most recent ones are kept.
   std::size_t limit = 0;
 };
 
-// True for a time that EventQuery::since accepts.
-bool IsTimePrefix(const std::string& text);
-
 // JSON array of the selected events, oldest first.
 std::string SelectEvents(const std::vector<EventRecord>& events,
                          const EventQuery& query,
--- a/src/config/duration.cc
+++ b/src/config/duration.cc
@@ -24,6 +24,20 @@
 // Nine digits of hours do not overflow 64 bits of milliseconds.
 constexpr std::size_t kMaxDigits = 9;
 
+// "d" stands for a digit.
+constexpr std::string_view kUtcTimeForm = "dddd-dd-ddTdd:dd:dd.dddddd";
+constexpr std::size_t kDateLength = 10;
+
+bool MatchesForm(std::string_view text, std::string_view form) {
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    bool is_digit = text[i] >= '0' && text[i] <= '9';
+    if (form[i] == 'd' ? !is_digit : text[i] != form[i]) {
+      return false;
+    }
+  }
+  return true;
+}
+
 }  // namespace
 
 std::optional<std::chrono::milliseconds> ParseDuration(std::string_view text) {
@@ -50,4 +64,19 @@
   return "0ms";
 }
 
+bool IsUtcTimePrefix(std::string_view text) {
+  if (!text.empty() && text.back() == 'Z') {
+    text.remove_suffix(1);
+  }
+  if (text.size() < kDateLength || text.size() > kUtcTimeForm.size() ||
+      !MatchesForm(text, kUtcTimeForm)) {
+    return false;
+  }
+  // A part may not end within a two-digit field or at a separator.
+  bool in_fraction = text.size() > kUtcTimeForm.rfind('.') + 1;
+  bool at_field_end =
+      text.size() == kUtcTimeForm.size() || kUtcTimeForm[text.size()] != 'd';
+  return in_fraction || at_field_end;
+}
+
 }  // namespace filbertshift
--- a/src/ctl/timeline.cc
+++ b/src/ctl/timeline.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
-#include <regex>
 #include <sstream>
 #include <stdexcept>
 #include <tuple>
@@ -53,9 +52,12 @@
   return nullptr;
 }
 
+// The length of "2026-12-04T08:00:00.123456Z".
+constexpr std::size_t kEventTimeLength = 27;
+
 bool IsEventTime(const std::string& text) {
-  static const std::regex kPattern(R"(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{6}Z)");
-  return std::regex_match(text, kPattern);
+  return text.size() == kEventTimeLength && text.back() == 'Z' &&
+         IsUtcTimePrefix(text);
 }
 
 auto SortKey(const TimelineEvent& event) {
@@ -133,9 +135,7 @@
   if (std::optional<std::chrono::milliseconds> ago = ParseDuration(text)) {
     return FormatWallTime(now - *ago);
   }
-  static const std::regex kPattern(
-      R"(\d{4}-\d\d-\d\d(T\d\d(:\d\d(:\d\d(\.\d{1,6})?)?)?)?Z?)");
-  if (!std::regex_match(text, kPattern)) {
+  if (!IsUtcTimePrefix(text)) {
     throw std::invalid_argument(
         "\"" + text +
         "\" is neither a duration as in 5m nor a UTC time as in "
--- a/tests/unit/config/process_settings_test.cc
+++ b/tests/unit/config/process_settings_test.cc
@@ -85,6 +85,24 @@
   CHECK(FormatDuration(milliseconds(0)) == "0ms");
 }
 
+// Guards against times that select the wrong events by text order.
+TEST_CASE("leading parts of UTC times", "[config]") {
+  for (const char* right :
+       {"2026-12-04", "2026-12-04Z", "2026-12-04T08", "2026-12-04T08:01",
+        "2026-12-04T08:01:02", "2026-12-04T08:01:02.1",
+        "2026-12-04T08:01:02.123456Z"}) {
+    INFO(right);
+    CHECK(IsUtcTimePrefix(right));
+  }
+  for (const char* wrong :
+       {"", "Z", "2026-12", "2026-12-04T", "2026-12-04T0", "2026-12-04 08",
+        "2026-12-04T08:01:02.", "2026-12-04T08:01:02.1234567",
+        "2026-12-04T08:01:02ZZ"}) {
+    INFO(wrong);
+    CHECK_FALSE(IsUtcTimePrefix(wrong));
+  }
+}
+
 std::string Row(const std::vector<std::string>& cells) {
   std::string row = "|";
   for (const std::string& cell : cells) {
