Fix a use after free in the timeline

Cause: a range-based for iterated over a member of a temporary JSON value, which is destroyed before the loop runs. A run under AddressSanitizer found it; the plain run passed by chance.

Change: the value has a name.

--- a/src/ctl/timeline.cc
+++ b/src/ctl/timeline.cc
@@ -120,8 +120,8 @@
 std::vector<TimelineEvent> ParseEventsReply(const std::string& body) {
   try {
     std::vector<TimelineEvent> events;
-    for (const nlohmann::json& json :
-         nlohmann::json::parse(body).at("events")) {
+    const nlohmann::json reply = nlohmann::json::parse(body);
+    for (const nlohmann::json& json : reply.at("events")) {
       events.push_back(EventFromJson(json));
     }
     return events;
