Free the HTTP server when its address is in use

Cause: the constructor of the library that also listens leaks its object when listening fails; LeakSanitizer reported 1,880 bytes.

Change: construct first, then listen.

--- a/src/admin/admin_server.cc
+++ b/src/admin/admin_server.cc
@@ -211,8 +211,9 @@
 
 void AdminServer::Start() {
   ListenAddress address = ParseListenAddress(impl_->options.listen);
-  impl_->server.emplace(impl_->loop, address.ip, address.port);
-  cxxtools::http::Server& server = *impl_->server;
+  // The constructor of the library that listens too leaks when it throws.
+  cxxtools::http::Server& server = impl_->server.emplace(impl_->loop);
+  server.listen(address.ip, address.port);
   cxxtools::Milliseconds timeout(kIdleTimeout.count());
   server.readTimeout(timeout);
   server.writeTimeout(timeout);
