--- a/src/core/chat.cc
+++ b/src/core/chat.cc
@@ -170,10 +170,38 @@
   }
 }
 
+void ChatAnswer::MarkLengthReached() {
+  done_ = true;
+  finish_reason_ = "length";
+}
+
 int ChatAnswer::answer_tokens() const {
   return earlier_tokens_ + std::max(chunk_tokens_, reported_tokens_);
 }
 
+int TokenLimit(const json& caller_body) {
+  for (const char* limit : {"max_completion_tokens", "max_tokens"}) {
+    int value = IntegerField(caller_body, limit);
+    if (value > 0) {
+      return value;
+    }
+  }
+  return 0;
+}
+
+std::string FinishEvent(const ChatAnswer& answer,
+                        const std::string& completion_id,
+                        const std::string& model) {
+  json event = {
+      {"id", completion_id},
+      {"object", "chat.completion.chunk"},
+      {"model", model},
+      {"choices", json::array({{{"index", 0},
+                                {"delta", json::object()},
+                                {"finish_reason", answer.finish_reason()}}})}};
+  return "data: " + Dump(event) + "\n\n";
+}
+
 std::string EngineBody(const json& caller_body,
                        const std::string& model,
                        const ChatAnswer& answer) {
--- a/src/core/chat.h
+++ b/src/core/chat.h
@@ -33,6 +33,8 @@
   // Adds one chunk. Returns true if it carries content for the caller.
   bool Add(const nlohmann::json& chunk);
   void MarkDone() { done_ = true; }
+  // The caller's limit of tokens is reached although no end mark came.
+  void MarkLengthReached();
 
   const std::string& text() const { return text_; }
   // The answer ended by the engine's own end mark.
@@ -69,6 +71,14 @@
                        const std::string& model,
                        const ChatAnswer& answer);
 
+// The caller's limit of generated tokens; 0 if there is none.
+int TokenLimit(const nlohmann::json& caller_body);
+
+// The event that ends the only choice.
+std::string FinishEvent(const ChatAnswer& answer,
+                        const std::string& completion_id,
+                        const std::string& model);
+
 // One event for the caller, with the ids of the request in place of those of
 // the engine's attempt.
 std::string CallerChunk(nlohmann::json chunk,
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -224,6 +224,7 @@
 }
 
 void Core::On(PeerUp&& peer) {
+  up_peers_.insert(peer.instance);
   charges_.OnPeerUp(peer.instance);
   for (const StoppedCandidate& stop : rollouts_.Stops()) {
     ports_.peers.Send(peer.instance,
@@ -238,6 +239,7 @@
 }
 
 void Core::On(PeerDown&& peer) {
+  up_peers_.erase(peer.instance);
   charges_.OnPeerDown(peer.instance);
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -143,6 +143,7 @@
   void OnAttemptLost(Request& request, const RunningAttempt& attempt);
   // Runs the request again, or fails it.
   void Retry(Request& request);
+  void FinishAtLimit(Request& request);
   // Takes the requests whose attempts broke on the endpoint on, as suspects if
   // it crashed.
   void ResolveBroken(const EndpointId& endpoint, bool crashed);
@@ -253,6 +254,8 @@
   std::set<StoppedCandidate> stored_stops_;
   TimePoint next_stop_poll_;
   std::map<InstanceId, PeerHeartbeat> peers_;
+  // Peers to which a stream is open.
+  std::set<InstanceId> up_peers_;
   bool shutting_down_ = false;
   bool queue_changed_ = false;
   TimePoint next_heartbeat_;
--- a/src/core/core_attempts.cc
+++ b/src/core/core_attempts.cc
@@ -423,6 +423,13 @@
                    RunState::kRun, std::chrono::seconds(0)});
     return;
   }
+  // An engine that breaks after the last token leaves nothing to continue; one
+  // more attempt would add a token beyond the caller's limit.
+  int limit = TokenLimit(request.chat_body);
+  if (limit > 0 && request.answer.answer_tokens() >= limit) {
+    FinishAtLimit(request);
+    return;
+  }
   bool resumable = request.answer.resumable() || !request.head_sent;
   if (request.attempts >= kMaxAttempts || !resumable) {
     Fail(request, {502, "endpoint_failed", "no endpoint finished the answer",
@@ -444,6 +451,17 @@
   Enqueue(request);
 }
 
+void Core::FinishAtLimit(Request& request) {
+  request.answer.MarkLengthReached();
+  if (request.head_sent && request.caller.has_value()) {
+    ports_.callers.SendBody(
+        *request.caller,
+        FinishEvent(request.answer, request.CompletionId(),
+                    request.model.value() + ":" + request.version.value()));
+  }
+  OnAnswerWhole(request);
+}
+
 void Core::ResolveBroken(const EndpointId& endpoint, bool crashed) {
   auto found = awaiting_probe_.find(endpoint);
   if (found == awaiting_probe_.end()) {
--- a/src/core/core_operators.cc
+++ b/src/core/core_operators.cc
@@ -55,6 +55,17 @@
   return result;
 }
 
+std::string ErrorJson(const std::string& code,
+                      const std::string& message,
+                      json body = json::object(),
+                      json findings = nullptr) {
+  body["error"] = {{"code", code}, {"message", message}};
+  if (!findings.is_null()) {
+    body["error"]["findings"] = std::move(findings);
+  }
+  return body.dump();
+}
+
 OperatorReply ApplyReply(OperatorCallId call, const ApplyResult& result) {
   switch (result.status) {
     case ApplyStatus::kAccepted:
@@ -63,21 +74,22 @@
           json({{"status", "accepted"}, {"revision", result.revision}}).dump()};
     case ApplyStatus::kConflict:
       return {call, 409,
-              json({{"status", "conflict"},
-                    {"revision", result.current.revision},
-                    {"text", result.current.text}})
-                  .dump()};
+              ErrorJson("conflict", "another change came first",
+                        {{"current",
+                          {{"revision", result.current.revision},
+                           {"text", result.current.text}}}})};
     case ApplyStatus::kInvalid:
       return {call, 422,
-              json({{"status", "invalid"},
-                    {"findings", FindingsJson(result.findings)}})
-                  .dump()};
+              ErrorJson("invalid_section", "the section has findings", {},
+                        FindingsJson(result.findings))};
     case ApplyStatus::kUnavailable:
-      return {call, 503, json({{"status", "not_stored"}}).dump()};
+      return {call, 503,
+              ErrorJson("not_stored", "the table service did not store it")};
     case ApplyStatus::kUnknown:
       break;
   }
-  return {call, 504, json({{"status", "unknown"}}).dump()};
+  return {call, 504,
+          ErrorJson("not_known", "the table service did not confirm")};
 }
 
 }  // namespace
@@ -111,8 +123,7 @@
     section = ParseSectionName(command.section);
   } catch (const std::invalid_argument& error) {
     ports_.operators.Reply(
-        {call, 404,
-         json({{"status", "invalid"}, {"message", error.what()}}).dump()});
+        {call, 404, ErrorJson("unknown_section", error.what())});
     return;
   }
   configuration_ledger_.Apply(
@@ -126,6 +137,7 @@
   json peers = json::array();
   for (const auto& [id, heartbeat] : peers_) {
     peers.push_back({{"instance", id.value()},
+                     {"up", up_peers_.count(id) > 0},
                      {"data_centre", heartbeat.data_centre.value()},
                      {"seat", heartbeat.seat},
                      {"accepting", heartbeat.accepting},
