--- a/tests/unit/ledger/job_ledger_test.cc
+++ b/tests/unit/ledger/job_ledger_test.cc
@@ -39,7 +39,8 @@
         [this](const JobId& job) { held.erase(job); });
   }
 
-  void Finish(const JobId& job, const std::string& body) {
+  // By value: the caller may pass a key of `held`, which is erased here.
+  void Finish(const JobId job, const std::string& body) {
     held.erase(job);
     Charge charge;
     charge.id = job.value();
