Let every instance run crash suspects in turns

Cause: a suspect could run only on an endpoint where its instance had the first rendezvous rank. With few endpoints some instances have none: in the restart test three of four instances held a suspect until its deadline of 30 s, and the crash test took 30 s for the same reason. Ruled out: letting every instance run suspects anywhere, which would put suspects of one crash side by side; a lock by messages, which fails while peers are cut off. Change: the right to start suspects on an endpoint passes from seat to seat each second, by the wall clock. The crash test read a history through a reference into a temporary value and counted nothing; it now keeps the value.

--- a/src/core/core_attempts.cc
+++ b/src/core/core_attempts.cc
@@ -19,13 +19,18 @@
 // Typical bytes of text in one token, for load estimates only.
 constexpr double kBytesPerToken = 4.0;
 constexpr std::chrono::milliseconds kKeepAliveInterval{5000};
+// Time for which one instance may start suspects on an endpoint. Much longer
+// than the usual difference of synchronized clocks.
+constexpr std::chrono::milliseconds kSuspectTurn{1000};
 // Time that a non-repeatable call may go on after its caller's deadline, so
 // that its answer is recorded.
 constexpr std::chrono::minutes kDetachedTime{10};
 // Bytes of an endpoint's error that the caller gets to see.
 constexpr std::size_t kMaxQuotedBody = 2000;
 
-EndpointQuery MakeQuery(const Request& request, CrashVerdict verdict) {
+EndpointQuery MakeQuery(const Request& request,
+                        CrashVerdict verdict,
+                        WallTime now) {
   EndpointQuery query;
   query.kind = request.kind == RequestKind::kChat ? EndpointKind::kModelEngine
                                                   : EndpointKind::kPlainService;
@@ -40,6 +45,10 @@
         static_cast<double>(request.raw_body.size()) / kBytesPerToken;
   }
   query.suspect = verdict == CrashVerdict::kSuspect;
+  query.suspect_turn = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          now.time_since_epoch()) /
+      kSuspectTurn);
   return query;
 }
 
@@ -109,7 +118,7 @@
   }
   TimePoint now = ports_.clock.Now();
   CrashVerdict verdict = quarantine_.Check(request->fingerprint, now);
-  EndpointQuery query = MakeQuery(*request, verdict);
+  EndpointQuery query = MakeQuery(*request, verdict, ports_.clock.WallNow());
   std::optional<EndpointChoice> choice = registry_.Choose(query, now);
   // Without a verified incarnation no connection may carry the request yet; a
   // probe is due.
@@ -445,7 +454,8 @@
     return;
   }
   // Every endpoint has failed the request once; all of them count again.
-  if (!registry_.HasCandidate(MakeQuery(request, CrashVerdict::kClear))) {
+  if (!registry_.HasCandidate(
+          MakeQuery(request, CrashVerdict::kClear, ports_.clock.WallNow()))) {
     request.excluded.clear();
   }
   Enqueue(request);
--- a/src/routing/endpoint_choice.cc
+++ b/src/routing/endpoint_choice.cc
@@ -57,8 +57,10 @@
 }
 
 bool EndpointRegistry::CanStartSuspect(const Endpoint& endpoint,
+                                       const EndpointQuery& query,
                                        TimePoint now) const {
-  return endpoint.load.suspects() == 0 && endpoint.share.HasFirstRank(now) &&
+  return endpoint.load.suspects() == 0 &&
+         endpoint.share.HasTurn(query.suspect_turn, now) &&
          CanStart(endpoint, now);
 }
 
@@ -114,7 +116,8 @@
   Slots candidates;
   for (EndpointSlot slot : group.members()) {
     const Endpoint& endpoint = endpoints_[slot];
-    if (!IsExcluded(query, endpoint.record) && CanStartSuspect(endpoint, now)) {
+    if (!IsExcluded(query, endpoint.record) &&
+        CanStartSuspect(endpoint, query, now)) {
       candidates.push_back(slot);
     }
   }
@@ -228,10 +231,8 @@
   const Slots& members = group->members();
   return std::any_of(members.begin(), members.end(), [&](EndpointSlot slot) {
     const Endpoint& endpoint = endpoints_[slot];
-    const auto& basis = endpoint.share.basis();
     return TakesWork(endpoint) && !IsExcluded(query, endpoint.record) &&
-           endpoint.share.FullShare() > 0 &&
-           (!query.suspect || basis->rank == 0);
+           endpoint.share.FullShare() > 0;
   });
 }
 
--- a/src/routing/endpoint_registry.h
+++ b/src/routing/endpoint_registry.h
@@ -51,9 +51,13 @@
   // Hash of the leading part of the prompt; 0 if there is none.
   std::uint64_t prefix_hash = 0;
   double prompt_tokens = 0;
-  // The request is a crash suspect: only endpoints where this seat has the
-  // first rank and no other suspect runs.
+  // The request is a crash suspect: only endpoints where this seat has its turn
+  // and no other suspect runs.
   bool suspect = false;
+  // Number of the present turn. The turn at an endpoint passes from seat to
+  // seat in rendezvous order, so that two instances do not start suspects on it
+  // at the same time and no instance is left without an endpoint for them.
+  std::uint64_t suspect_turn = 0;
 };
 
 struct EndpointChoice {
@@ -198,7 +202,9 @@
   static bool TakesWork(const Endpoint& endpoint);
   int ShareOf(const Endpoint& endpoint, TimePoint now) const;
   bool CanStart(const Endpoint& endpoint, TimePoint now) const;
-  bool CanStartSuspect(const Endpoint& endpoint, TimePoint now) const;
+  bool CanStartSuspect(const Endpoint& endpoint,
+                       const EndpointQuery& query,
+                       TimePoint now) const;
 
   // The choice of one.
   Slots CandidatesFor(const EndpointQuery& query,
--- a/src/routing/endpoint_share.cc
+++ b/src/routing/endpoint_share.cc
@@ -42,12 +42,12 @@
   return share;
 }
 
-bool EndpointShare::HasFirstRank(TimePoint now) const {
-  if (!basis_ || basis_->rank != 0) {
+bool EndpointShare::HasTurn(std::uint64_t turn, TimePoint now) const {
+  if (!basis_ || !basis_->HasTurn(turn)) {
     return false;
   }
-  return std::all_of(past_.begin(), past_.end(), [now](const Past& past) {
-    return past.until <= now || past.basis.rank == 0;
+  return std::all_of(past_.begin(), past_.end(), [&](const Past& past) {
+    return past.until <= now || past.basis.HasTurn(turn);
   });
 }
 
--- a/src/routing/endpoint_share.h
+++ b/src/routing/endpoint_share.h
@@ -23,8 +23,8 @@
 
   // The least share of the current and past bases; 0 without a current one.
   int ShareAt(std::chrono::milliseconds uptime, TimePoint now) const;
-  // True if the seat has the first rank by the current and all past bases.
-  bool HasFirstRank(TimePoint now) const;
+  // True if the turn falls on the seat by the current and all past bases.
+  bool HasTurn(std::uint64_t turn, TimePoint now) const;
   // True if the seat has a part in the endpoint by the current basis.
   bool HasSeat() const { return basis_ && basis_->rank >= 0; }
   // The share once the endpoint is warm and all changes have spread.
--- a/src/routing/share_plan.cc
+++ b/src/routing/share_plan.cc
@@ -28,6 +28,12 @@
   return ShareOfRank(LimitAtUptime(limits, uptime), seat_count, rank);
 }
 
+bool ShareBasis::HasTurn(std::uint64_t turn) const {
+  return rank >= 0 && seat_count > 0 &&
+         turn % static_cast<std::uint64_t>(seat_count) ==
+             static_cast<std::uint64_t>(rank);
+}
+
 bool operator==(const ShareBasis& a, const ShareBasis& b) {
   return Fields(a.limits) == Fields(b.limits) && a.rank == b.rank &&
          a.seat_count == b.seat_count;
--- a/src/routing/share_plan.h
+++ b/src/routing/share_plan.h
@@ -5,6 +5,7 @@
 #define SRC_ROUTING_SHARE_PLAN_H_
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <utility>
@@ -24,6 +25,8 @@
   int seat_count = 0;
 
   int ShareAt(std::chrono::milliseconds uptime) const;
+  // True if `turn`, taken modulo the number of seats, falls on this seat.
+  bool HasTurn(std::uint64_t turn) const;
   friend bool operator==(const ShareBasis& a, const ShareBasis& b);
   friend bool operator!=(const ShareBasis& a, const ShareBasis& b) {
     return !(a == b);
--- a/tests/process/whole_answer_test.cc
+++ b/tests/process/whole_answer_test.cc
@@ -138,7 +138,8 @@
 int CrashedLives(Deployment& site) {
   int crashed = 0;
   for (std::size_t i = 0; i < site.engine_count(); ++i) {
-    for (const json& life : site.History(site.engine(i))["lives"]) {
+    json history = site.History(site.engine(i));
+    for (const json& life : history["lives"]) {
       crashed += life.value("end_cause", "").empty() ? 0 : 1;
     }
   }
