--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -84,11 +84,15 @@
 }
 
 void ChildProcess::Freeze() {
-  kill(pid_, SIGSTOP);
+  if (!exit_status_.has_value()) {
+    kill(pid_, SIGSTOP);
+  }
 }
 
 void ChildProcess::Resume() {
-  kill(pid_, SIGCONT);
+  if (!exit_status_.has_value()) {
+    kill(pid_, SIGCONT);
+  }
 }
 
 std::optional<int> ChildProcess::WaitExit(std::chrono::milliseconds timeout) {
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -28,7 +28,8 @@
   void Kill();
   // Sends SIGTERM.
   void Terminate();
-  // SIGSTOP and SIGCONT.
+  // SIGSTOP and SIGCONT. Without effect on a process that has ended, because
+  // its id may belong to another process by now.
   void Freeze();
   void Resume();
   // The exit status, or nothing if the process still runs after `timeout`. A
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -79,6 +79,7 @@
   Service& rating() { return rating_; }
   std::size_t instance_count() const { return instances_.size(); }
   std::size_t engine_count() const { return engines_.size(); }
+  std::size_t service_count() const { return services_.size(); }
 
   // Starts the instance's process again after it has ended.
   void StartInstance(std::size_t index);
--- /dev/null
+++ b/tests/process/records.cc
@@ -0,0 +1,95 @@
+#include "tests/process/records.h"
+
+#include <thread>
+#include <vector>
+
+namespace filbertshift {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kPollInterval{20};
+
+json RowValue(const json& row) {
+  return json::parse(row.at("v").at("S").get<std::string>());
+}
+
+// All charges in the rows of the table service.
+std::vector<json> AllCharges(Deployment& site) {
+  std::vector<json> charges;
+  for (const json& row : site.Rows("charges/")) {
+    for (const json& charge : RowValue(row).at("charges")) {
+      charges.push_back(charge);
+    }
+  }
+  for (const char* prefix : {"exec/", "job/"}) {
+    for (const json& row : site.Rows(prefix)) {
+      const json value = RowValue(row);
+      if (value.contains("charge") && !value["charge"].is_null()) {
+        charges.push_back(value["charge"]);
+      }
+    }
+  }
+  return charges;
+}
+
+}  // namespace
+
+bool WaitUntil(std::chrono::milliseconds timeout,
+               const std::function<bool()>& condition) {
+  const auto end = std::chrono::steady_clock::now() + timeout;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return true;
+}
+
+std::map<std::string, int> ExecutionCounts(Deployment& site) {
+  std::map<std::string, int> counts;
+  for (std::size_t i = 0; i < site.service_count(); ++i) {
+    const json history = site.History(site.service(i));
+    for (const auto& [key, count] : history.at("counts").items()) {
+      counts[key] += count.get<int>();
+    }
+  }
+  return counts;
+}
+
+int ExecutionCount(Deployment& site, const std::string& key) {
+  return ExecutionCounts(site)[key];
+}
+
+bool HasExecutionRecord(Deployment& site, const std::string& key) {
+  return !site.Rows("exec/museum/" + key).empty();
+}
+
+std::map<std::string, int> ChargeCounts(Deployment& site) {
+  std::map<std::string, int> counts;
+  for (const json& charge : AllCharges(site)) {
+    ++counts[charge.at("request").get<std::string>()];
+  }
+  return counts;
+}
+
+int ChargesWithId(Deployment& site, const std::string& charge_id) {
+  int count = 0;
+  for (const json& charge : AllCharges(site)) {
+    count += charge.at("id") == charge_id ? 1 : 0;
+  }
+  return count;
+}
+
+std::string RequestIdOf(const HttpResult& result) {
+  const auto found = result.headers.find("x-request-id");
+  return found == result.headers.end() ? std::string() : found->second;
+}
+
+bool IsSuccess(const HttpResult& result) {
+  return result.status >= 200 && result.status < 300;
+}
+
+}  // namespace filbertshift
