Correct the process tests' use of temporaries and of cold shares

Two loops over a member of a temporary JSON value read freed memory and saw no charges. The frozen and killed cases stopped the instance while it still waited for its share of the service (share_transition), so that the call was never sent; a first call now comes before. Without change to what is checked.

--- a/tests/process/at_most_once_test.cc
+++ b/tests/process/at_most_once_test.cc
@@ -148,6 +148,8 @@
   Deployment site{DeploymentShape()};
   INFO(site.folder());
   const std::string key = "frozen-during-call";
+  // From here on the instance sends calls without waiting for its share.
+  REQUIRE(SucceedsWithin(site, 0, key + "-before", seconds(5)));
   site.Control(site.service(0).control, {{"delay_ms", 700}});
   HttpResult first;
   std::thread caller([&] { first = Call(Booking(site, 0, key)); });
@@ -243,6 +245,8 @@
   Deployment site{DeploymentShape()};
   INFO(site.folder());
   const std::string key = "killed";
+  // From here on the instance sends calls without waiting for its share.
+  REQUIRE(SucceedsWithin(site, 0, key + "-before", seconds(5)));
   site.Control(site.service(0).control, {{"delay_ms", 600}});
   HttpResult first;
   std::thread caller([&] { first = Call(Booking(site, 0, key)); });
@@ -387,6 +391,9 @@
     if (IsSuccess(tries.back().result) && random->Next() % 4 != 0) {
       break;
     }
+    // A refused connection fails at once; without a pause most keys would be
+    // used up on an instance that is down.
+    std::this_thread::sleep_for(milliseconds(20));
   }
   return tries;
 }
--- a/tests/process/billing_test.cc
+++ b/tests/process/billing_test.cc
@@ -121,6 +121,9 @@
 TEST_CASE("a keyed call is charged although its instance is lost in an outage",
           "[process]") {
   Deployment site{ThreeInstances()};
+  std::vector<std::string> ids;
+  // From here on the instance sends calls without waiting for its share.
+  ExpectAnswer(Call(site.Ledger(0, "POST", "/fees", "before", "{}")), &ids);
   site.Control(site.service(0).control, {{"delay_ms", 500}});
   HttpResult answer;
   std::thread caller([&] {
@@ -136,7 +139,6 @@
   REQUIRE(recorded);
   INFO(answer.status << " " << answer.body << answer.error);
   // A refusal would be no answer, and nothing to charge.
-  std::vector<std::string> ids;
   if (IsSuccess(answer)) {
     ExpectAnswer(answer, &ids);
   }
@@ -164,7 +166,8 @@
 // The engine that runs a request, or -1.
 int RunningEngine(Deployment& site) {
   for (std::size_t i = 0; i < site.engine_count(); ++i) {
-    for (const json& record : site.History(site.engine(i)).at("requests")) {
+    const json history = site.History(site.engine(i));
+    for (const json& record : history.at("requests")) {
       if (record.at("outcome") == "running" && record.at("tokens") > 3) {
         return static_cast<int>(i);
       }
--- a/tests/process/records.cc
+++ b/tests/process/records.cc
@@ -19,7 +19,8 @@
 std::vector<json> AllCharges(Deployment& site) {
   std::vector<json> charges;
   for (const json& row : site.Rows("charges/")) {
-    for (const json& charge : RowValue(row).at("charges")) {
+    const json value = RowValue(row);
+    for (const json& charge : value.at("charges")) {
       charges.push_back(charge);
     }
   }
