Copy completions of keyed calls to peers while the store is down

Ruled out: a charge row beside the execution record, since the late write of the record could then charge twice; holding the answer back until the store returns, which would keep callers waiting through an outage. A stored answer that cannot be read is refused as run, not as not_run. The window between the broadcast and its arrival at a peer remains.

--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -52,6 +52,7 @@
                             ports_.log),
       executions_(table_calls_,
                   object_calls_,
+                  ports_.peers,
                   ports_.clock,
                   ports_.random,
                   ports_.log),
@@ -226,6 +227,7 @@
 void Core::On(PeerUp&& peer) {
   up_peers_.insert(peer.instance);
   charges_.OnPeerUp(peer.instance);
+  executions_.OnPeerUp(peer.instance);
   for (const StoppedCandidate& stop : rollouts_.Stops()) {
     ports_.peers.Send(peer.instance,
                       PeerCandidateStopped{stop.model, stop.version,
@@ -241,6 +243,7 @@
 void Core::On(PeerDown&& peer) {
   up_peers_.erase(peer.instance);
   charges_.OnPeerDown(peer.instance);
+  executions_.OnPeerDown(peer.instance);
 }
 
 void Core::On(PeerReceived&& received) {
@@ -268,6 +271,9 @@
     charges_.OnPeerMessage(from, *kept);
   } else if (auto* stored = std::get_if<PeerChargeStored>(&received.message)) {
     charges_.OnPeerMessage(from, *stored);
+  } else if (auto* replica_of_call =
+                 std::get_if<PeerExecutionReplica>(&received.message)) {
+    executions_.OnPeerMessage(from, *replica_of_call);
   } else if (auto* bound = std::get_if<PeerSessionBound>(&received.message)) {
     sessions_.OnPeerMessage(*bound);
   } else if (auto* stop =
--- a/src/core/core_intake.cc
+++ b/src/core/core_intake.cc
@@ -271,6 +271,12 @@
     case BeginStatus::kReplay:
       Deliver(id, result.answer);
       return;
+    case BeginStatus::kReplayUnavailable:
+      Fail(*request, {503, "answer_unavailable",
+                      "the call was done before and its answer cannot be read "
+                      "at present",
+                      RunState::kRun, kStoreRetryAfter});
+      return;
     case BeginStatus::kInProgress:
       request->next_poll = ports_.clock.Now() + kExecutionPollInterval;
       return;
--- a/src/ledger/execution_ledger.cc
+++ b/src/ledger/execution_ledger.cc
@@ -16,6 +16,12 @@
 constexpr std::chrono::milliseconds kFirstRetryDelay{200};
 constexpr std::chrono::milliseconds kMaxRetryDelay{5000};
 
+// Completions of other instances kept here; the oldest tokens are not special,
+// so further ones are not kept.
+constexpr std::size_t kMaxReplicas = 10000;
+// Longer than a reconnection after a short loss of the stream.
+constexpr std::chrono::milliseconds kTakeOverDelay{5000};
+
 constexpr char kSent[] = "sent";
 constexpr char kDone[] = "done";
 constexpr char kReleased[] = "released";
@@ -83,11 +89,13 @@
 
 ExecutionLedger::ExecutionLedger(TableCalls& table,
                                  ObjectCalls& objects,
+                                 PeerPort& peers,
                                  const Clock& clock,
                                  Random& random,
                                  EventLog& log)
     : table_(table),
       objects_(objects),
+      peers_(peers),
       clock_(clock),
       random_(random),
       log_(log) {}
@@ -245,7 +253,7 @@
                  if (reply.outcome == ObjectOutcome::kOk) {
                    result.answer.body = reply.bytes;
                  } else {
-                   result = BeginResult();
+                   result.status = BeginStatus::kReplayUnavailable;
                  }
                  EndReservation(id, std::move(result));
                });
@@ -331,6 +339,66 @@
   for (std::uint64_t id : due) {
     Step(id);
   }
+  for (auto replica = replicas_.begin(); replica != replicas_.end();) {
+    const std::optional<TimePoint>& at = replica->second.take_over_at;
+    if (at.has_value() && *at <= now) {
+      TakeOver(replica->second.message);
+      replica = replicas_.erase(replica);
+    } else {
+      ++replica;
+    }
+  }
+}
+
+PeerExecutionReplica ExecutionLedger::MakeReplica(
+    const PendingWrite& write) const {
+  PeerExecutionReplica replica;
+  replica.account = write.ticket.key.account;
+  replica.idempotency_key = write.ticket.key.idempotency_key;
+  replica.owner_token = write.ticket.owner_token;
+  replica.request_hash = write.ticket.request_hash;
+  replica.reserved = write.ticket.reserved;
+  replica.expected_version = write.expected_version;
+  replica.value = write.value;
+  return replica;
+}
+
+void ExecutionLedger::OnPeerMessage(const InstanceId& from,
+                                    const PeerExecutionReplica& message) {
+  if (message.stored) {
+    replicas_.erase(message.owner_token);
+  } else if (replicas_.size() < kMaxReplicas) {
+    replicas_[message.owner_token] = {from, message, std::nullopt};
+  }
+}
+
+void ExecutionLedger::OnPeerUp(const InstanceId& peer) {
+  for (auto& [token, replica] : replicas_) {
+    if (replica.owner == peer) {
+      replica.take_over_at.reset();
+    }
+  }
+}
+
+void ExecutionLedger::OnPeerDown(const InstanceId& peer) {
+  for (auto& [token, replica] : replicas_) {
+    if (replica.owner == peer) {
+      replica.take_over_at = clock_.Now() + kTakeOverDelay;
+    }
+  }
+}
+
+void ExecutionLedger::TakeOver(const PeerExecutionReplica& message) {
+  PendingWrite write;
+  write.complete = true;
+  write.ticket.key = {message.account, message.idempotency_key};
+  write.ticket.owner_token = message.owner_token;
+  write.ticket.request_hash = message.request_hash;
+  write.ticket.reserved = message.reserved;
+  write.ticket.row_version = message.expected_version;
+  write.expected_version = message.expected_version;
+  write.value = message.value;
+  Step(AddPending(std::move(write)));
 }
 
 void ExecutionLedger::Step(std::uint64_t id) {
@@ -417,6 +485,10 @@
   write.next_try = clock_.Now() + write.delay;
   write.delay = std::min(write.delay * 2, kMaxRetryDelay);
   if (write.callback) {
+    // The caller may get its answer now, so that the loss of this instance must
+    // not lose the charge.
+    write.replicated = true;
+    peers_.Broadcast(MakeReplica(write));
     const CompleteCallback callback = std::move(write.callback);
     write.callback = nullptr;
     callback(false);
@@ -429,6 +501,12 @@
   pending_.erase(found);
   const EventContext context = ContextOf(write.ticket);
   const std::string key = RowKey(write.ticket.key);
+  if (write.replicated) {
+    PeerExecutionReplica done;
+    done.owner_token = write.ticket.owner_token;
+    done.stored = true;
+    peers_.Broadcast(std::move(done));
+  }
   if (write.complete && !stored && !write.ticket.reserved) {
     log_.Write(EventId::kExecutionDone, context,
                "another try has stored its answer before: " + key);
--- a/src/ledger/execution_ledger.h
+++ b/src/ledger/execution_ledger.h
@@ -41,6 +41,8 @@
   kOwned,
   // The call was done before; `answer` is its answer.
   kReplay,
+  // The call was done before, but its answer cannot be read at present.
+  kReplayUnavailable,
   // Another try has the record and its result is not known.
   kInProgress,
   // The key was used with another request.
@@ -65,6 +67,7 @@
   // last reply that `table` and `objects` deliver.
   ExecutionLedger(TableCalls& table,
                   ObjectCalls& objects,
+                  PeerPort& peers,
                   const Clock& clock,
                   Random& random,
                   EventLog& log);
@@ -97,7 +100,15 @@
   // Gives the key free after a call that was certainly not run. Retries.
   void Release(const ExecutionTicket& ticket);
 
-  // Repeats unconfirmed writes.
+  // Copies of completions that other instances could not store yet. They are
+  // written here when the stream to their owner has been down for a while; the
+  // owner token makes the write of the owner and of several peers the same.
+  void OnPeerMessage(const InstanceId& from,
+                     const PeerExecutionReplica& message);
+  void OnPeerUp(const InstanceId& peer);
+  void OnPeerDown(const InstanceId& peer);
+
+  // Repeats unconfirmed writes and takes over those of lost peers.
   void Tick(TimePoint now);
 
   // Writes that the table service has not confirmed; zero before a shutdown
@@ -126,6 +137,8 @@
     std::string object;
     std::string object_bytes;
     CompleteCallback callback;
+    // Peers have a copy.
+    bool replicated = false;
     bool in_flight = false;
     TimePoint next_try;
     std::chrono::milliseconds delay{0};
@@ -135,6 +148,15 @@
                             const std::string& request_hash,
                             const RequestId& request);
   void OnLookedUp(std::uint64_t id, const TableReply& reply);
+  struct Replica {
+    InstanceId owner;
+    PeerExecutionReplica message;
+    // Not set while the stream to the owner is up.
+    std::optional<TimePoint> take_over_at;
+  };
+
+  PeerExecutionReplica MakeReplica(const PendingWrite& write) const;
+  void TakeOver(const PeerExecutionReplica& message);
   void WriteReservation(std::uint64_t id);
   void OnReservationWritten(std::uint64_t id, const TableReply& reply);
   void ReadRecord(std::uint64_t id, bool may_be_written);
@@ -160,12 +182,15 @@
 
   TableCalls& table_;
   ObjectCalls& objects_;
+  PeerPort& peers_;
   const Clock& clock_;
   Random& random_;
   EventLog& log_;
   std::uint64_t next_id_ = 1;
   std::map<std::uint64_t, Reservation> reservations_;
   std::map<std::uint64_t, PendingWrite> pending_;
+  // Invariant: at most kMaxReplicas entries, by owner token.
+  std::map<std::string, Replica> replicas_;
 };
 
 }  // namespace filbertshift
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -21,6 +21,7 @@
   kChargeStored = 7,
   kSessionBound = 8,
   kCandidateStopped = 9,
+  kExecutionReplica = 10,
 };
 
 constexpr std::size_t kPrefixBytes = 4;
@@ -138,6 +139,19 @@
       .ToString();
 }
 
+std::string Encode(const PeerExecutionReplica& message) {
+  return Encoder(FrameType::kExecutionReplica, 8)
+      .Add(message.account)
+      .Add(message.idempotency_key)
+      .Add(message.owner_token)
+      .Add(message.request_hash)
+      .Add(message.reserved)
+      .Add(message.expected_version)
+      .Add(message.value)
+      .Add(message.stored)
+      .ToString();
+}
+
 std::string Encode(const PeerMessage& message) {
   return std::visit([](const auto& item) { return Encode(item); }, message);
 }
@@ -259,6 +273,19 @@
   return PeerMessage(std::move(message));
 }
 
+PeerFrame DecodeExecutionReplica(Decoder fields) {
+  PeerExecutionReplica message;
+  fields.Take(&message.account)
+      .Take(&message.idempotency_key)
+      .Take(&message.owner_token)
+      .Take(&message.request_hash)
+      .Take(&message.reserved)
+      .Take(&message.expected_version)
+      .Take(&message.value)
+      .Take(&message.stored);
+  return PeerMessage(std::move(message));
+}
+
 PeerFrame DecodeFields(Decoder fields) {
   std::uint32_t type = 0;
   fields.Take(&type);
@@ -283,6 +310,8 @@
       return DecodeSessionBound(fields);
     case FrameType::kCandidateStopped:
       return DecodeCandidateStopped(fields);
+    case FrameType::kExecutionReplica:
+      return DecodeExecutionReplica(fields);
   }
   throw PeerCodecError("unknown message type " + std::to_string(type));
 }
--- a/src/ports/peer_port.h
+++ b/src/ports/peer_port.h
@@ -82,6 +82,23 @@
   std::string reason;
 };
 
+// Copy of the answer and charge of a call with an idempotency key, sent while
+// the table service does not take them.
+struct PeerExecutionReplica {
+  AccountId account;
+  std::string idempotency_key;
+  std::string owner_token;
+  std::string request_hash;
+  bool reserved = false;
+  // Version of the record on which the write is conditional.
+  std::uint64_t expected_version = 0;
+  // JSON text of the record.
+  std::string value;
+  // True once the record is stored and the copy can be dropped; the value is
+  // then empty.
+  bool stored = false;
+};
+
 using PeerMessage = std::variant<PeerHeartbeat,
                                  PeerConfigurationSection,
                                  PeerSuspect,
@@ -90,7 +107,8 @@
                                  PeerChargeKept,
                                  PeerChargeStored,
                                  PeerSessionBound,
-                                 PeerCandidateStopped>;
+                                 PeerCandidateStopped,
+                                 PeerExecutionReplica>;
 
 struct PeerReceived {
   InstanceId from;
--- a/tests/unit/ledger/execution_ledger_test.cc
+++ b/tests/unit/ledger/execution_ledger_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <memory>
 
+#include "tests/unit/ledger/fake_peers.h"
 #include "tests/unit/ledger/fake_table.h"
 
 namespace filbertshift {
@@ -23,11 +24,12 @@
   Instance(FakeStore& store, int number, Clock& clock, std::uint64_t seed)
       : client(store, number, log),
         random(seed),
-        ledger(client.table, client.objects, clock, random, log) {}
+        ledger(client.table, client.objects, peers, clock, random, log) {}
 
   FakeEventLog log;
   FakeClient client;
   SystemRandom random;
+  FakePeers peers;
   ExecutionLedger ledger;
 };
 
@@ -265,5 +267,40 @@
   CHECK(runs_with_send > 300);
 }
 
+// Guards against a charge that is lost with its instance, when the table
+// service was down as the answer went out; and against two effective writes
+// when the owner was only cut off and writes later itself.
+TEST_CASE("peers store a completion whose owner is lost", "[ledger]") {
+  for (bool owner_returns : {false, true}) {
+    INFO("owner returns: " << owner_returns);
+    World world(1);
+    Instance& owner = *world.instances[0];
+    owner.peers.peers = {InstanceId("i1"), InstanceId("i2")};
+    BeginResult begun = world.Begin(0);
+    REQUIRE(begun.status == BeginStatus::kOwned);
+    owner.client.down = true;
+    CHECK_FALSE(
+        world.Complete(0, begun.ticket, {200, "application/json", "{}"}));
+    REQUIRE(owner.peers.sent.size() == 2);
+    for (int i : {1, 2}) {
+      ExecutionLedger& ledger = world.instances[i]->ledger;
+      ledger.OnPeerMessage(
+          InstanceId("i0"),
+          std::get<PeerExecutionReplica>(owner.peers.sent[i - 1].message));
+      ledger.OnPeerDown(InstanceId("i0"));
+    }
+    owner.client.down = !owner_returns;
+    for (int i = 0; i < 30; ++i) {
+      world.TickAll(std::chrono::milliseconds(500));
+      world.schedule.RunAll();
+    }
+    const TableRow& row = world.store.rows.begin()->second;
+    CHECK(world.store.rows.size() == 1);
+    CHECK(row.version == 2);
+    CHECK(row.value.find("museum/invoice/7") != std::string::npos);
+    CHECK(world.Begin(1).status == BeginStatus::kReplay);
+  }
+}
+
 }  // namespace
 }  // namespace filbertshift
--- a/tests/unit/peer/peer_codec_test.cc
+++ b/tests/unit/peer/peer_codec_test.cc
@@ -34,6 +34,8 @@
           PeerMessage(PeerChargeStored{"charges/x/1"}),
           PeerMessage(PeerCandidateStopped{ModelId("m"), VersionId("v"), 2,
                                            "12 of 20 answers bad"}),
+          PeerMessage(PeerExecutionReplica{AccountId("a"), "k", "t", "h", true,
+                                           3, "{}", false}),
           PeerMessage(PeerSessionBound{AccountId("a"), SessionId("s"),
                                        ModelId("m"), VersionId("v")})};
 }
