--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -176,8 +176,11 @@
     addresses_.erase(removed);
     ResolveBroken(removed, false);
   }
-  ports_.peers.SetPeers(SelectPeers(PeerSelectionOptions(), options_.instance,
-                                    options_.data_centre, list.instances));
+  if (listed_instances_ != list.instances) {
+    listed_instances_ = list.instances;
+    ports_.peers.SetPeers(SelectPeers(PeerSelectionOptions(), options_.instance,
+                                      options_.data_centre, list.instances));
+  }
   queue_changed_ = true;
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -253,6 +253,8 @@
   // Stops that are in the table service.
   std::set<StoppedCandidate> stored_stops_;
   TimePoint next_stop_poll_;
+  // The entry instances from which the peers were chosen.
+  std::vector<EntryInstanceRecord> listed_instances_;
   std::map<InstanceId, PeerHeartbeat> peers_;
   // Peers to which a stream is open.
   std::set<InstanceId> up_peers_;
--- a/src/ledger/execution_ledger.cc
+++ b/src/ledger/execution_ledger.cc
@@ -462,18 +462,16 @@
   const Record record = FindRecord(reply);
   const std::uint64_t version = FindVersion(reply);
   const bool own = record.owner == write.ticket.owner_token;
+  // The late write of the record has taken effect before the release.
+  const bool late = own && record.state == kSent;
+  const bool released = !write.ticket.reserved && record.state == kReleased;
   if (own && record.state == (write.complete ? kDone : kReleased)) {
     EndPending(id, true);
-  } else if (own && record.state == kSent &&
-             version != write.expected_version) {
-    // The late write of the record has taken effect before the release.
-    write.expected_version = version;
-    Step(id);
-  } else if (!write.ticket.reserved && record.state == kReleased) {
-    write.expected_version = version;
-    Step(id);
   } else if (version == write.expected_version) {
     RetryLater(id);
+  } else if (late || released) {
+    write.expected_version = version;
+    Step(id);
   } else {
     EndPending(id, false);
   }
--- a/src/ports/instance_list.h
+++ b/src/ports/instance_list.h
@@ -32,6 +32,12 @@
   std::string peer_address;
   DataCentreId data_centre;
   bool leaving = false;
+
+  friend bool operator==(const EntryInstanceRecord& a,
+                         const EntryInstanceRecord& b) {
+    return a.instance == b.instance && a.peer_address == b.peer_address &&
+           a.data_centre == b.data_centre && a.leaving == b.leaving;
+  }
 };
 
 // One complete reading of the list. Sent to the core after each poll.
--- a/src/routing/peer_selection.cc
+++ b/src/routing/peer_selection.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace filbertshift {
@@ -20,6 +21,23 @@
   return XXH64(key.data(), key.size(), 0);
 }
 
+// True if `self` is among the `count` first of its data centre in the order of
+// `other`, so that `other` chooses it.
+bool IsChosenBy(const InstanceId& other,
+                const InstanceId& self,
+                const std::vector<InstanceId>& own_data_centre,
+                std::size_t count) {
+  std::uint64_t own_rank = PairRank(other, self);
+  std::size_t better = 0;
+  for (const InstanceId& instance : own_data_centre) {
+    if (instance != other && instance != self &&
+        PairRank(other, instance) < own_rank) {
+      ++better;
+    }
+  }
+  return better < count;
+}
+
 }  // namespace
 
 std::vector<PeerAddress> SelectPeers(
@@ -29,8 +47,12 @@
     const std::vector<EntryInstanceRecord>& instances) {
   using Ranked = std::pair<std::uint64_t, PeerAddress>;
   std::map<DataCentreId, std::vector<Ranked>> by_data_centre;
+  std::vector<InstanceId> own_instances;
   std::size_t others = 0;
   for (const EntryInstanceRecord& record : instances) {
+    if (record.data_centre == own_data_centre) {
+      own_instances.push_back(record.instance);
+    }
     if (record.instance == self) {
       continue;
     }
@@ -41,19 +63,23 @@
   }
   std::vector<PeerAddress> peers;
   for (auto& [data_centre, ranked] : by_data_centre) {
-    std::size_t count = ranked.size();
-    if (others > options.full_mesh_limit) {
-      count = std::min(count, data_centre == own_data_centre
-                                  ? options.own_data_centre_peers
-                                  : options.other_data_centre_peers);
-    }
+    std::size_t count = data_centre == own_data_centre
+                            ? options.own_data_centre_peers
+                            : options.other_data_centre_peers;
     std::sort(ranked.begin(), ranked.end(),
               [](const Ranked& a, const Ranked& b) {
                 return std::tie(a.first, a.second.instance) <
                        std::tie(b.first, b.second.instance);
               });
-    for (std::size_t i = 0; i < count; ++i) {
-      peers.push_back(std::move(ranked[i].second));
+    for (std::size_t i = 0; i < ranked.size(); ++i) {
+      // A peer that chooses this instance is one as well, so that each of the
+      // two can answer the other.
+      bool is_peer =
+          others <= options.full_mesh_limit || i < count ||
+          IsChosenBy(ranked[i].second.instance, self, own_instances, count);
+      if (is_peer) {
+        peers.push_back(std::move(ranked[i].second));
+      }
     }
   }
   return peers;
--- a/src/routing/peer_selection.h
+++ b/src/routing/peer_selection.h
@@ -20,8 +20,9 @@
   std::size_t other_data_centre_peers = 1;
 };
 
-// Rendezvous choice, so that a change of the list moves few streams. `self` is
-// left out.
+// Rendezvous choice, so that a change of the list moves few streams, and the
+// choice of either side counts: if one instance is a peer of another, the
+// reverse holds as well. `self` is left out.
 std::vector<PeerAddress> SelectPeers(
     const PeerSelectionOptions& options,
     const InstanceId& self,
