--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -38,6 +38,18 @@
   return jobs;
 }
 
+// True if a section went on by more than one revision. The first reading after
+// a start does not count.
+bool HasSkippedRevision(const std::vector<std::uint64_t>& before,
+                        const std::vector<std::uint64_t>& after) {
+  for (std::size_t i = 0; i < before.size() && i < after.size(); ++i) {
+    if (before[i] > 0 && after[i] > before[i] + 1) {
+      return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 Core::Core(CoreOptions options, CorePorts ports)
@@ -289,9 +301,17 @@
 }
 
 void Core::OnConfiguration(const Configuration& changed) {
-  registry_.ApplyConfiguration(changed, ports_.clock.Now());
+  std::vector<std::uint64_t> revisions = configuration_ledger_.Revisions();
+  // Shares of revisions that were never in force here may not overlap with the
+  // present ones, so this instance uses none until the change has spread.
+  std::optional<std::chrono::milliseconds> missed;
+  if (HasSkippedRevision(revisions_in_force_, revisions)) {
+    missed = std::chrono::milliseconds(0);
+  }
+  revisions_in_force_ = revisions;
+  registry_.ApplyConfiguration(changed, ports_.clock.Now(), missed);
   rollouts_.ApplyConfiguration(changed);
-  ports_.metrics.SetRevisions(configuration_ledger_.Revisions());
+  ports_.metrics.SetRevisions(revisions);
   queue_changed_ = true;
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -132,6 +132,7 @@
   bool TryStart(const QueuedRequest& queued);
   void OnDisallowed(Request& request);
   bool IsStillAllowed(const Request& request) const;
+  EndpointQuery MakeQuery(const Request& request, CrashVerdict verdict) const;
   AttemptSpec MakeAttempt(const Request& request,
                           const EndpointChoice& choice) const;
   void OnChatData(Request& request, const std::string& bytes);
@@ -253,6 +254,8 @@
   // Stops that are in the table service.
   std::set<StoppedCandidate> stored_stops_;
   TimePoint next_stop_poll_;
+  // In the order of ConfigurationSections().
+  std::vector<std::uint64_t> revisions_in_force_;
   // The entry instances from which the peers were chosen.
   std::vector<EntryInstanceRecord> listed_instances_;
   std::map<InstanceId, PeerHeartbeat> peers_;
--- a/tests/process/configuration_test.cc
+++ b/tests/process/configuration_test.cc
@@ -143,8 +143,8 @@
     const std::string& winning = texts[first_won ? 0 : 1];
     REQUIRE((first_won || second.status == 200));
     CHECK(lost.status == 409);
-    CHECK(lost.Json().value("text", "") == winning);
-    CHECK(lost.Json().value("revision", 0) == base + 1);
+    CHECK(lost.Json()["current"].value("text", "") == winning);
+    CHECK(lost.Json()["current"].value("revision", 0) == base + 1);
     const json stored = StoredSection(site, kAccounts);
     CHECK(stored.at("text") == winning);
     CHECK(stored.at("revision") == base + 1);
--- a/tests/unit/core/core_test.cc
+++ b/tests/unit/core/core_test.cc
@@ -188,6 +188,19 @@
   CHECK(fixture.ErrorField(waiting, "run") == "not_run");
 }
 
+// Guards against shares of revisions that do not overlap: an instance that has
+// missed a change of seats or limits must not send until it has spread.
+TEST_CASE("a skipped revision holds back all shares", "[core]") {
+  CoreFixture fixture;
+  ++fixture.store.rows["config/models"].version;
+  fixture.PutSection("models", fixture.models_section);
+  CallerId caller = fixture.Chat("lookup", true);
+  CHECK(fixture.endpoints.started.empty());
+  fixture.Advance(std::chrono::seconds(14));
+  CHECK(fixture.endpoints.started.size() == 1);
+  CHECK_FALSE(fixture.Record(caller).finished);
+}
+
 // Guards against a silent endpoint that holds a request until its deadline.
 TEST_CASE("a silent endpoint is suspected and the request moves", "[core]") {
   CoreFixture fixture;
