Fix a finding of the linter and name no machine path in the tests

Cause: clang-tidy reported a string that was joined from a macro inside a list, and the folder of a test was fixed to one path. Checked with the linter on both files.

--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <set>
@@ -28,7 +29,8 @@
 }
 
 std::string MakeFolder() {
-  std::string pattern = "/tmp/filbertshift-test-XXXXXX";
+  std::string pattern =
+      std::filesystem::temp_directory_path() / "filbertshift-test-XXXXXX";
   if (mkdtemp(pattern.data()) == nullptr) {
     throw std::runtime_error("cannot make a folder for the test");
   }
--- a/tests/process/stream_measurement_test.cc
+++ b/tests/process/stream_measurement_test.cc
@@ -61,21 +61,12 @@
                                   {"prompt_tokens", {50, 50}},
                                   {"answer_tokens", {100, 100}}}}}})
                              .dump();
-  std::vector<std::string> command = {FILBERTSHIFT_BINARY_DIR
-                                      "/emulator/filbertshift-emulator",
-                                      "load",
-                                      "--plan",
-                                      plan,
-                                      "--rate",
-                                      "46.5",
-                                      "--duration-ms",
-                                      "20000",
-                                      "--arrival",
-                                      "fixed",
-                                      "--seed",
-                                      "1",
-                                      "--json",
-                                      summary};
+  const std::string program =
+      FILBERTSHIFT_BINARY_DIR "/emulator/filbertshift-emulator";
+  std::vector<std::string> command = {
+      program,         "load",  "--plan",    plan,    "--rate", "46.5",
+      "--duration-ms", "20000", "--arrival", "fixed", "--seed", "1",
+      "--json",        summary};
   command.insert(command.end(), target.begin(), target.end());
   ChildProcess load(name, site.folder(), command);
   CHECK(load.WaitExit(std::chrono::seconds(60)) == 0);
