--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -303,7 +303,10 @@
   if (candidates.empty()) {
     return {std::nullopt, NoEndpointReason::kNoCandidate};
   }
-  if (query.affinity != 0) {
+  if (query.most_endpoints > 0) {
+    std::sort(candidates.begin(), candidates.end(),
+              [](const Entry* a, const Entry* b) { return a->hash < b->hash; });
+  } else if (query.affinity != 0) {
     std::sort(candidates.begin(), candidates.end(),
               [&query](const Entry* a, const Entry* b) {
                 return Combine(a->hash, query.affinity) >
@@ -315,6 +318,7 @@
   const Entry* best = nullptr;
   double best_score = std::numeric_limits<double>::max();
   const Entry* avoided = nullptr;
+  int considered = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     Entry* entry = candidates[i];
     if (ColdLimitReached(entry, now)) {
@@ -334,6 +338,10 @@
       }
       continue;
     }
+    ++considered;
+    if (query.most_endpoints > 0 && considered > query.most_endpoints) {
+      break;
+    }
     double cached_part = query.affinity != 0 && i < std::size(kCachedParts)
                              ? kCachedParts[i]
                              : 0;
--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -37,6 +37,8 @@
   // same endpoints from every instance. 0: none.
   std::uint64_t affinity = 0;
   WorkEstimate work;
+  // Only this many of the endpoints, the same at every instance; 0: all.
+  int most_endpoints = 0;
   // Endpoints that this request has already tried.
   std::vector<EndpointId> excluded;
   DataCentreId near;
--- a/src/dispatch/version_policy.cc
+++ b/src/dispatch/version_policy.cc
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace filbertshift {
 
 namespace {
@@ -37,7 +39,8 @@
                     kept_elsewhere_.count(HashSession(session)) > 0)) {
     candidate = false;
   }
-  return {candidate ? Kind::kOnly : Kind::kAllBut, order->to};
+  return {candidate ? Kind::kOnly : Kind::kAllBut, order->to,
+          candidate ? progress->exposure_permille : 0};
 }
 
 // Sessions that were in use before the order keep their version while the share
@@ -48,9 +51,8 @@
                            TimePoint now) const {
   auto known = sessions_.find(session);
   return known != sessions_.end() &&
-         now - known->second.last_used < session_retention_ &&
-         known->second.version != order.to &&
-         progress.changed_at == progress.started_at;
+         known->second.InUse(session_retention_, now) &&
+         known->second.version != order.to && progress.in_first_share();
 }
 
 std::vector<std::uint32_t> VersionPolicy::KeptSessions(
@@ -59,7 +61,7 @@
     TimePoint now) const {
   std::vector<std::uint32_t> kept;
   for (const auto& entry : sessions_) {
-    if (GoesToCandidate(entry.first, progress.exposure_permille) &&
+    if (GoesToCandidate(entry.first, kFirstSharePermille) &&
         IsKept(order, progress, entry.first, now)) {
       kept.push_back(HashSession(entry.first));
     }
@@ -80,14 +82,26 @@
                           const VersionId& version,
                           TimePoint now) {
   if (!session.empty()) {
-    sessions_[session] = Session{version, now};
+    Session& entry = sessions_[session];
+    entry.version = version;
+    entry.last_used = now;
+    ++entry.running;
+  }
+}
+
+void VersionPolicy::OnEnd(const std::string& session, TimePoint now) {
+  auto found = sessions_.find(session);
+  if (found != sessions_.end()) {
+    found->second.last_used = now;
+    found->second.running = std::max(found->second.running - 1, 0);
   }
 }
 
 void VersionPolicy::Expire(TimePoint now) {
   for (auto entry = sessions_.begin(); entry != sessions_.end();) {
-    bool old = now - entry->second.last_used >= session_retention_;
-    entry = old ? sessions_.erase(entry) : std::next(entry);
+    entry = entry->second.InUse(session_retention_, now)
+                ? std::next(entry)
+                : sessions_.erase(entry);
   }
 }
 
--- a/src/dispatch/version_policy.h
+++ b/src/dispatch/version_policy.h
@@ -20,6 +20,10 @@
   enum class Kind { kAny, kOnly, kAllBut };
   Kind kind = Kind::kAny;
   VersionId version;
+  // Set for a candidate, in thousandths: the same share of its endpoints takes
+  // its share of the traffic, so that each bears its usual load and its times
+  // can be compared.
+  int concentrated_permille = 0;
   bool Allows(const VersionId& candidate) const {
     return kind == Kind::kAny ||
            (kind == Kind::kOnly) == (candidate == version);
@@ -50,10 +54,12 @@
   void SetKeptElsewhere(std::set<std::uint32_t> sessions) {
     kept_elsewhere_ = std::move(sessions);
   }
-  // A request of the session has run on the version.
+  // A request of the session is sent to the version.
   void OnRun(const std::string& session,
              const VersionId& version,
              TimePoint now);
+  // A request of the session that has run has ended.
+  void OnEnd(const std::string& session, TimePoint now);
   void Expire(TimePoint now);
 
  private:
@@ -63,8 +69,12 @@
               TimePoint now) const;
 
   struct Session {
+    bool InUse(std::chrono::milliseconds retention, TimePoint now) const {
+      return running > 0 || now - last_used < retention;
+    }
     VersionId version;
     TimePoint last_used;
+    int running = 0;
   };
 
   const std::chrono::milliseconds session_retention_;
--- a/src/fleet/rollout_driver.cc
+++ b/src/fleet/rollout_driver.cc
@@ -11,9 +11,9 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-// Share of sessions in the first half of a rollout. Sessions may not change
-// their version in that half, so the share stays as it is.
-constexpr int kCanaryPermille = 80;
+// Time before the candidate gets its first share. Instances tell each other
+// meanwhile which sessions are in use on the stable version.
+constexpr milliseconds kAnnounceTime{2000};
 constexpr int kFullPermille = 1000;
 // Shares of the second half, each kept for a step's time.
 constexpr int kSecondHalfSteps[] = {300, 600, kFullPermille};
@@ -88,7 +88,6 @@
     first.to = inputs.order.to;
     first.started_at = inputs.store_now;
     first.changed_at = inputs.store_now;
-    first.exposure_permille = kCanaryPermille;
     return first;
   }
   const RolloutProgress& progress = *inputs.progress;
@@ -100,12 +99,17 @@
   }
   milliseconds elapsed = inputs.store_now - progress.started_at;
   milliseconds deadline = inputs.order.deadline;
+  if (progress.exposure_permille == 0) {
+    return elapsed >= kAnnounceTime
+               ? Change(inputs, kFirstSharePermille, RolloutPhase::kInProgress)
+               : std::nullopt;
+  }
   if (elapsed < deadline / 2 + kHalfMargin) {
     return std::nullopt;
   }
   if (progress.exposure_permille < kFullPermille) {
     milliseconds step = deadline / kStepsPerDeadline;
-    bool first_step = progress.exposure_permille == kCanaryPermille;
+    bool first_step = progress.in_first_share();
     bool due = first_step || inputs.store_now - progress.changed_at >= step;
     if (!due || inputs.candidate_endpoints == 0) {
       return std::nullopt;
--- a/src/fleet/rollout_driver.h
+++ b/src/fleet/rollout_driver.h
@@ -14,6 +14,10 @@
 
 namespace filbertshift {
 
+// Share of sessions that a candidate gets in the first half of its rollout, in
+// thousandths.
+constexpr int kFirstSharePermille = 100;
+
 // The row all instances route by. Times are of the store's clock.
 struct RolloutProgress {
   std::int64_t order_version = 0;
@@ -24,6 +28,12 @@
   int exposure_permille = 0;
   RolloutPhase state = RolloutPhase::kInProgress;
 
+  // Sessions may not change their version yet.
+  bool in_first_share() const {
+    return state == RolloutPhase::kInProgress &&
+           exposure_permille <= kFirstSharePermille;
+  }
+
   friend bool operator==(const RolloutProgress& a, const RolloutProgress& b) {
     return a.order_version == b.order_version && a.to == b.to &&
            a.started_at == b.started_at && a.changed_at == b.changed_at &&
--- a/src/fleet/rollout_evidence.cc
+++ b/src/fleet/rollout_evidence.cc
@@ -16,7 +16,7 @@
 // Rate that is assumed for a stable version without observed failures.
 constexpr double kFloorFailureRate = 0.01;
 // A candidate is slow if its geometric mean time is this many times longer.
-constexpr double kSlowFactor = 2.2;
+constexpr double kSlowFactor = 3.0;
 constexpr std::int64_t kMinTimedAnswers = 8;
 // Answers after which a candidate without a fault counts as good.
 constexpr std::int64_t kMinGoodAnswers = 30;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -121,6 +121,7 @@
               RunState run);
   void Finish(Exchange* exchange, int status, std::string_view outcome);
   void RecordOutcome(const Exchange& exchange, bool failed);
+  void RecordGap(const Exchange& exchange);
   EvidenceKey KeyOf(const Exchange& exchange) const;
 
   Transport* const transport_;
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -21,8 +21,8 @@
 constexpr double kRetryAfterSeconds = 0.4;
 // An answer is not dropped for one of a larger model if less is left.
 constexpr milliseconds kMinTimeToEscalate{1000};
-// Events of an answer from which its mean gap is known.
-constexpr int kMinBlocksForGap = 4;
+// Events of an answer over which its mean gap is taken.
+constexpr int kBlocksForGap = 4;
 
 // The value of the "id" field of one event; empty if it has none.
 std::string EventIdOf(std::string_view event) {
@@ -89,6 +89,16 @@
   evidence_.OnAnswer(KeyOf(exchange), failed);
 }
 
+// Taken early in a stream: those of a slow version end late.
+void Forwarder::RecordGap(const Exchange& exchange) {
+  const EndpointAttempt& attempt = *exchange.attempt;
+  if (attempt.event_blocks == kBlocksForGap) {
+    auto lasted = duration_cast<microseconds>(attempt.progress_at -
+                                              attempt.first_byte_at);
+    evidence_.OnMeanGap(KeyOf(exchange), lasted / (kBlocksForGap - 1));
+  }
+}
+
 HeadDecision Forwarder::OnHead(CallId call, const HttpResponseHead& head) {
   Exchange* exchange = Find(call);
   AnswerMetadata answer = codec_.DecodeAnswer(head);
@@ -167,6 +177,7 @@
   std::string events = attempt.events.Add(data);
   if (!events.empty()) {
     ++attempt.event_blocks;
+    RecordGap(*exchange);
     DeliverEvents(exchange, events);
   }
 }
@@ -247,11 +258,6 @@
   }
   BeginAnswer(exchange);
   RecordOutcome(*exchange, false);
-  if (attempt.event_blocks >= kMinBlocksForGap) {
-    auto lasted = duration_cast<microseconds>(attempt.progress_at -
-                                              attempt.first_byte_at);
-    evidence_.OnMeanGap(KeyOf(*exchange), lasted / (attempt.event_blocks - 1));
-  }
   int status = attempt.head.status;
   ++exchange->runs;
   EndAttempt(exchange, AttemptResult::kAnswered);
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -41,6 +41,8 @@
 // A whole answer that takes this part of its objective is asked for elsewhere.
 constexpr int kSlowAnswerPercent = 70;
 
+constexpr int kAllPermille = 1000;
+
 }  // namespace
 
 VersionRule Forwarder::RuleFor(const Exchange& exchange) const {
@@ -58,6 +60,11 @@
   query.allows_version = [rule](const VersionId& version) {
     return rule.Allows(version);
   };
+  if (rule.concentrated_permille > 0) {
+    int ready = pool_.CountReady(exchange.service, rule.version, true);
+    query.most_endpoints =
+        (ready * rule.concentrated_permille + kAllPermille - 1) / kAllPermille;
+  }
   query.model = exchange.model;
   query.affinity = exchange.affinity;
   query.excluded = exchange.tried;
@@ -198,6 +205,7 @@
   EndpointAttempt& attempt = *exchange->attempt;
   client_.Cancel(attempt.call);
   callers_by_call_.erase(static_cast<std::uint64_t>(attempt.call));
+  versions_.OnEnd(exchange->session, transport_->Now());
   pool_.OnEnd(attempt.endpoint, attempt.work, attempt.head_seen, result,
               transport_->Now());
   metrics_->CountAttempt(AttemptResultName(result));
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -20,6 +20,9 @@
 constexpr milliseconds kColdJoinDelay{2000};
 // A table that was confirmed longer ago than this is asked of a peer.
 constexpr milliseconds kPeerReadAge{1500};
+// Added to the idle time of sessions, for differences between the instances'
+// and the callers' views of an end.
+constexpr milliseconds kSessionMargin{500};
 // Part of the bound for a configuration after which what it does not have may
 // be in force elsewhere.
 constexpr double kConfigurationAgePart = 0.9;
@@ -42,7 +45,7 @@
   ForwarderBounds bounds;
   bounds.max_configuration_age = milliseconds(static_cast<std::int64_t>(
       settings.configuration_apply_ms * kConfigurationAgePart));
-  bounds.session_retention = Seconds(settings.session_s);
+  bounds.session_retention = Seconds(settings.session_s) + kSessionMargin;
   bounds.repeats.ratio = settings.repeat_ratio;
   bounds.repeats.window = Seconds(settings.repeat_window_s);
   bounds.repeats.allowance = settings.repeat_allowance;
