--- a/src/net/tcp_loop.cc
+++ b/src/net/tcp_loop.cc
@@ -156,6 +156,7 @@
 
 void TcpLoop::Run() {
   auto guard = asio::make_work_guard(context_);
+  context_.restart();
   context_.run();
 }
 
--- a/src/net/tcp_loop.h
+++ b/src/net/tcp_loop.h
@@ -31,7 +31,7 @@
   // Calls `action` for each of the signals.
   void OnSignals(const std::vector<int>& signals,
                  std::function<void(int)> action);
-  // Blocks until Stop.
+  // Blocks until Stop. May be called again after it.
   void Run();
   void Stop();
 
--- /dev/null
+++ b/tests/unit/common/buffered_event_log_test.cc
@@ -0,0 +1,60 @@
+// The log that never blocks.
+
+#include <unistd.h>
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <chrono>
+
+#include "src/common/common.h"
+
+namespace filbertshift {
+namespace {
+
+// Guards against a reader that stops and holds the process up with it.
+TEST_CASE("a reader that stops costs lines, not time", "[common]") {
+  std::array<int, 2> pipe_ends{};
+  REQUIRE(pipe(pipe_ends.data()) == 0);
+  SystemClock clock;
+  auto start = std::chrono::steady_clock::now();
+  std::uint64_t dropped = 0;
+  {
+    BufferedEventLog log(clock, InstanceId("i"), DataCentreId("d"),
+                         Severity::kInfo, pipe_ends[1], 500);
+    for (int i = 0; i < 20000; ++i) {
+      log.Write(EventId::kGatewayStarted, std::string(100, 'x'));
+    }
+    dropped = log.dropped_lines();
+    CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(2));
+  }
+  CHECK(dropped > 0);
+  CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(4));
+  close(pipe_ends[0]);
+  close(pipe_ends[1]);
+}
+
+TEST_CASE("buffered lines are written at the end", "[common]") {
+  std::array<int, 2> pipe_ends{};
+  REQUIRE(pipe(pipe_ends.data()) == 0);
+  SystemClock clock;
+  {
+    BufferedEventLog log(clock, InstanceId("i"), DataCentreId("d"),
+                         Severity::kInfo, pipe_ends[1], 500);
+    log.Write(EventId::kGatewayStarted, "first");
+    log.Write(EventId::kModelEscalated, "debug is left out");
+    log.Write(EventId::kGatewayStopped, "last\n\"line\"");
+  }
+  close(pipe_ends[1]);
+  std::string text(4096, '\0');
+  ssize_t size = read(pipe_ends[0], text.data(), text.size());
+  REQUIRE(size > 0);
+  text.resize(static_cast<std::size_t>(size));
+  CHECK(text.find("FS1700 info gateway_started instance=i") !=
+        std::string::npos);
+  CHECK(text.find("debug") == std::string::npos);
+  CHECK(text.find("detail=\"last\\x0a\\\"line\\\"\"") != std::string::npos);
+  close(pipe_ends[0]);
+}
+
+}  // namespace
+}  // namespace filbertshift
--- a/tests/unit/config/process_settings_test.cc
+++ b/tests/unit/config/process_settings_test.cc
@@ -7,6 +7,7 @@
 #include <sstream>
 
 #include "src/config/config.h"
+#include "src/gateway/gateway_settings.h"
 
 namespace filbertshift {
 namespace {
@@ -119,6 +120,11 @@
         Row({"`" + field.name + "`", field.type, field.unit,
              "`" + field.default_value + "`", field.range, field.meaning}));
   }
+  for (const FieldDescription& field : DescribeGatewaySettings()) {
+    expected.insert(
+        Row({"`" + field.name + "`", field.type, field.unit,
+             "`" + field.default_value + "`", field.range, field.meaning}));
+  }
   for (const DocumentFieldDescription& field : DescribeDocumentFields()) {
     expected.insert(
         Row({std::string(SectionName(field.section)),
--- a/tests/unit/fleet/rollout_driver_test.cc
+++ b/tests/unit/fleet/rollout_driver_test.cc
@@ -87,7 +87,7 @@
       }
       RolloutInputs inputs = Inputs(milliseconds(20000));
       inputs.progress = views[driver].progress;
-      inputs.store_now = milliseconds(step * 60 + random() % 50);
+      inputs.store_now = milliseconds(60) * step + milliseconds(random() % 50);
       std::optional<RolloutProgress> next = NextRolloutProgress(inputs);
       bool lost = random() % 5 == 0;
       if (!next.has_value() || lost || views[driver].version != store.version) {
--- a/tests/unit/gateway/forwarder_test.cc
+++ b/tests/unit/gateway/forwarder_test.cc
@@ -95,14 +95,14 @@
 // Guards against bytes that the endpoint does not vouch for, and a body that
 // was cut or encoded on the way.
 TEST_CASE("an answer without seal is not delivered", "[gateway]") {
-  const char* kAnswers[] = {
+  const char* answers[] = {
       "HTTP/1.1 200 OK\r\nFilbertshift-Attempt-Id: r1\r\n"
       "Content-Length: 3\r\n\r\nbad",
       "HTTP/1.1 200 OK\r\nFilbertshift-Attempt-Id: r1\r\n"
       "Filbertshift-Response-Seal: s\r\nContent-Encoding: gzip\r\n"
       "Content-Length: 3\r\n\r\nbad",
       "garbage that is no answer bad\r\n\r\n"};
-  for (const char* text : kAnswers) {
+  for (const char* text : answers) {
     INFO(text);
     ForwarderFixture f;
     ConnectionId caller = f.Request("POST", "/once/x", "r1", "", "b");
--- /dev/null
+++ b/tests/unit/gateway/gateway_settings_test.cc
@@ -0,0 +1,66 @@
+// Settings of the routing daemon, and the template that the platform fills in.
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <regex>
+#include <sstream>
+
+#include "src/gateway/gateway_settings.h"
+
+namespace filbertshift {
+namespace {
+
+std::string Template() {
+  std::ifstream file(FILBERTSHIFT_SOURCE_DIR "/deploy/settings.template");
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// Fills the template in as the platform's page says, with the given seeds.
+std::string Fill(std::string text, const std::string& seeds) {
+  text = std::regex_replace(
+      text, std::regex("\\{\\{#seeds\\}\\}.*\\{\\{/seeds\\}\\}"), seeds);
+  text = std::regex_replace(text, std::regex("\\{\\{[#/][a-z_.]*\\}\\}"), "");
+  text = std::regex_replace(
+      text, std::regex("\\{\\{(listen|platform)[a-z_.]*\\}\\}"), "10.0.0.1:80");
+  text =
+      std::regex_replace(text, std::regex("\\{\\{bounds[a-z_.]*\\}\\}"), "9.8");
+  text = std::regex_replace(text, std::regex("\\{\\{[a-z_.]*\\}\\}"), "name-1");
+  return std::regex_replace(text, std::regex("\"configuration_apply_ms\": 9.8"),
+                            "\"configuration_apply_ms\": 2000");
+}
+
+// Guards against a template that the daemon would refuse at its start.
+TEST_CASE("the template of the deploy file gives valid settings", "[gateway]") {
+  GatewaySettings settings = ParseGatewaySettings("t", Fill(Template(), ""));
+  CHECK(settings.instance == InstanceId("name-1"));
+  CHECK(settings.store_address == "10.0.0.1:80");
+  CHECK(settings.repeat_window_s == Approx(9.8));
+  settings = ParseGatewaySettings(
+      "t", Fill(Template(), "\"10.0.0.1:1\",\"10.0.0.2:1\""));
+  CHECK(settings.seed_peers.size() == 2);
+}
+
+// Guards against a wrong setting that silently becomes a default.
+TEST_CASE("faults of the gateway's settings are reported together",
+          "[gateway]") {
+  std::string found;
+  try {
+    ParseGatewaySettings("t", R"({"instance": "a b", "repeat_ratio": "x",
+ "silence_timeout": "5", "no_such": 1})");
+  } catch (const FindingsError& error) {
+    found = error.what();
+  }
+  for (const char* part :
+       {"/instance: must be", "/repeat_ratio: expected a number",
+        "/silence_timeout: not a duration", "/no_such: unknown key",
+        "missing key \"store_address\""}) {
+    INFO(found);
+    CHECK(found.find(part) != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace filbertshift
