Call the store less often outside rollouts

Change: member rows are written every 3 s and read every 2 s, and every 1 s and 0.5 s while a rollout is in progress; endpoints are read every 0.8 s at most, operators' changes wait 1.5 s. Instances count as live for 9 s, and a new one leaves cold endpoints alone for 3.5 s. Ruled out for now: reading through peers.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -14,12 +14,12 @@
 
 constexpr milliseconds kTickInterval{100};
 // Rows of instances that have not changed for this long are of dead ones.
-constexpr milliseconds kMemberTimeout{5000};
+constexpr milliseconds kMemberTimeout{9000};
 // After joining, an instance leaves cold endpoints alone until the others have
 // counted it.
-constexpr milliseconds kColdJoinDelay{2000};
+constexpr milliseconds kColdJoinDelay{3500};
 // A table that was confirmed longer ago than this is asked of a peer.
-constexpr milliseconds kPeerReadAge{1500};
+constexpr milliseconds kPeerReadAge{2300};
 // Added to the idle time of sessions, for differences between the instances'
 // and the callers' views of an end.
 constexpr milliseconds kSessionMargin{500};
@@ -108,7 +108,8 @@
                 &forwarder_,
                 &writer_,
                 log),
-      peer_reader_(transport, &peer_client_, log, this) {
+      peer_reader_(transport, &peer_client_, log, this),
+      heartbeat_interval_(settings.heartbeat_interval) {
   forwarder_.SetServer(&caller_server_);
   readiness_handler_.SetServer(&readiness_server_);
   peer_service_.SetServer(&peer_server_);
@@ -147,6 +148,7 @@
   forwarder_.versions().Expire(now);
   CountInstances(now);
   rollouts_.Step(StoreTime(now), now);
+  SetPace();
   if (now >= next_heartbeat_) {
     WriteHeartbeat();
   }
@@ -165,8 +167,21 @@
   transport_->After(kTickInterval, [this] { Tick(); });
 }
 
+// Evidence and kept sessions travel in member rows, so that these are written
+// and read more often during a rollout.
+void Gateway::SetPace() {
+  bool rollout = rollouts_.InProgress();
+  heartbeat_interval_ = rollout ? settings_.rollout_heartbeat_interval
+                                : settings_.heartbeat_interval;
+  next_heartbeat_ =
+      std::min(next_heartbeat_, transport_->Now() + heartbeat_interval_);
+  followers_[static_cast<std::size_t>(StoreTable::kInstances)]->SetMinInterval(
+      rollout ? settings_.rollout_instance_poll_interval
+              : settings_.instance_poll_interval);
+}
+
 void Gateway::WriteHeartbeat() {
-  next_heartbeat_ = transport_->Now() + settings_.heartbeat_interval;
+  next_heartbeat_ = transport_->Now() + heartbeat_interval_;
   if (!writer_.idle()) {
     return;
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -84,6 +84,7 @@
   };
 
   void Tick();
+  void SetPace();
   void WriteHeartbeat();
   void CountInstances(TimePoint now);
   void ReadPeerIfStale(TimePoint now);
@@ -106,12 +107,14 @@
   CallerServer peer_server_;
   HttpClient store_client_;
   HttpClient peer_client_;
+  // In the order of StoreTable.
   std::vector<std::unique_ptr<StoreFollower>> followers_;
   StoreWriter writer_;
   RolloutControl rollouts_;
   PeerReader peer_reader_;
 
   std::uint64_t beat_ = 0;
+  std::chrono::milliseconds heartbeat_interval_;
   TimePoint next_heartbeat_{};
   // Time of the first own row in the store.
   std::optional<TimePoint> joined_at_;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -43,9 +43,12 @@
   // Sent bytes that are not acknowledged for this long end a connection.
   std::chrono::milliseconds silence_timeout{1500};
   std::chrono::milliseconds operator_poll_interval{100};
-  std::chrono::milliseconds endpoint_poll_interval{350};
-  std::chrono::milliseconds instance_poll_interval{500};
-  std::chrono::milliseconds heartbeat_interval{1000};
+  std::chrono::milliseconds endpoint_poll_interval{800};
+  // While no rollout is in progress, and while one is.
+  std::chrono::milliseconds instance_poll_interval{2000};
+  std::chrono::milliseconds heartbeat_interval{3000};
+  std::chrono::milliseconds rollout_instance_poll_interval{500};
+  std::chrono::milliseconds rollout_heartbeat_interval{1000};
   Severity log_severity = Severity::kInfo;
   std::size_t log_buffer_lines = 20000;
 };
--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -46,6 +47,16 @@
   }
 }
 
+bool RolloutControl::InProgress() const {
+  return std::any_of(
+      view_.orders().begin(), view_.orders().end(), [this](const auto& entry) {
+        const RolloutProgress* progress = view_.FindProgress(entry.first);
+        return progress == nullptr ||
+               progress->order_version != entry.second.order_version ||
+               progress->state == RolloutPhase::kInProgress;
+      });
+}
+
 RolloutEvidence RolloutControl::SharedEvidence() const {
   RolloutEvidence evidence = forwarder_->evidence();
   for (const auto& [instance, member] : view_.members()) {
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -24,6 +24,8 @@
 
   // `store_time`: the store's clock; empty if it is not known yet.
   void Step(std::optional<std::chrono::milliseconds> store_time, TimePoint now);
+  // An order is not carried to its end yet.
+  bool InProgress() const;
   // Requests on other versions than the candidate, for each running rollout.
   std::map<ServiceId, int> StableInFlight() const;
   // Sessions that this instance keeps on stable versions.
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -15,7 +15,7 @@
 // How long the store holds a call for changes. Shorter than the bound for
 // changes to be in force, since a feed that is silent looks like one without
 // news.
-constexpr milliseconds kChangesWait{1000};
+constexpr milliseconds kChangesWait{1500};
 // Time for an answer beyond the wait.
 constexpr milliseconds kAnswerTimeout{700};
 // Pause after a failed call, doubled with each one in a row.
@@ -59,6 +59,16 @@
   Call();
 }
 
+void StoreFollower::SetMinInterval(milliseconds interval) {
+  bool shorter = interval < min_interval_;
+  min_interval_ = interval;
+  if (shorter && interval_timer_.has_value()) {
+    transport_->Cancel(*interval_timer_);
+    interval_timer_.reset();
+    Call();
+  }
+}
+
 void StoreFollower::Call() {
   StoreRequest request;
   milliseconds timeout = kAnswerTimeout;
@@ -156,7 +166,12 @@
 void StoreFollower::TakeChanges(const RowsAnswer& answer) {
   listener_->OnChanges(table_, answer);
   auto taken = transport_->Now() - called_at_;
-  CallAfter(duration_cast<milliseconds>(min_interval_ - taken));
+  milliseconds rest = duration_cast<milliseconds>(min_interval_ - taken);
+  interval_timer_ =
+      transport_->After(std::max(rest, milliseconds(1)), [this] {
+        interval_timer_.reset();
+        Call();
+      });
 }
 
 void StoreFollower::Trouble(std::string_view detail) {
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -42,6 +43,8 @@
   StoreFollower(const StoreFollower&) = delete;
   StoreFollower& operator=(const StoreFollower&) = delete;
   void Start();
+  // A shorter interval also cuts short the wait in progress.
+  void SetMinInterval(std::chrono::milliseconds interval);
 
   HeadDecision OnHead(CallId call, const HttpResponseHead& head) override;
   void OnBody(CallId call, std::string_view data) override;
@@ -59,7 +62,7 @@
   void CallAfter(std::chrono::milliseconds delay);
 
   const StoreTable table_;
-  const std::chrono::milliseconds min_interval_;
+  std::chrono::milliseconds min_interval_;
   const std::string store_address_;
   Transport* const transport_;
   HttpClient* const client_;
@@ -72,6 +75,8 @@
   TableSnapshot pages_;
   CallId call_{};
   TimerId timeout_{};
+  // Set while the next call waits for the interval.
+  std::optional<TimerId> interval_timer_;
   TimePoint called_at_{};
   int status_ = 0;
   std::string body_;
