Remove what nothing uses; check at-most-once before each attempt

Cause: reading the change as a newcomer: fields and metrics that nothing reads, and a promise (a request that may run once) that the program did not check by itself.

--- a/src/common/buffered_event_log.cc
+++ b/src/common/buffered_event_log.cc
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <chrono>
 #include <climits>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -60,7 +61,7 @@
     bool last_round = stopping_;
     std::vector<std::string> lines;
     lines_.PopAll(&lines);
-    std::string text;
+    std::string text = DroppedLine();
     for (const std::string& line : lines) {
       text += line;
     }
@@ -75,6 +76,18 @@
   }
 }
 
+std::string BufferedEventLog::DroppedLine() {
+  std::uint64_t dropped = dropped_;
+  if (dropped == reported_dropped_) {
+    return std::string();
+  }
+  std::string detail = "lines=" + std::to_string(dropped - reported_dropped_);
+  reported_dropped_ = dropped;
+  return FormatEventLine(clock_.WallNow(),
+                         FindEventDefinition(EventId::kLogLinesDropped),
+                         instance_, data_centre_, EventContext(), detail);
+}
+
 bool BufferedEventLog::WriteAll(const std::string& text) {
   std::size_t offset = 0;
   while (offset < text.size()) {
--- a/src/common/buffered_event_log.h
+++ b/src/common/buffered_event_log.h
@@ -38,6 +38,8 @@
  private:
   void WriteLines();
   bool WriteAll(const std::string& text);
+  // A line on the lines dropped since the last one; empty if there are none.
+  std::string DroppedLine();
 
   const Clock& clock_;
   const InstanceId instance_;
@@ -47,6 +49,8 @@
   BoundedRing<std::string> lines_;
   std::atomic<bool> stopping_{false};
   std::atomic<std::uint64_t> dropped_{0};
+  // Only used by the writer.
+  std::uint64_t reported_dropped_ = 0;
   std::thread writer_;
 };
 
--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -135,6 +135,9 @@
       {EventId::kSettingsReloaded, kInfo, "settings_reloaded",
        "SIGHUP arrived; the detail says what changed or why the settings "
        "were not taken."},
+      {EventId::kLogLinesDropped, kInfo, "log_lines_dropped",
+       "Lines were dropped since the reader of the log was slow; the detail "
+       "has their number."},
       {EventId::kExchangeFinished, kInfo, "exchange_finished",
        "The end of a request: outcome, status, route, model, version, "
        "endpoints tried, time in ms, last event and configuration in "
--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -80,6 +80,7 @@
   kGatewayDraining = 1702,
   kGatewayStopped = 1703,
   kSettingsReloaded = 1704,
+  kLogLinesDropped = 1705,
   kExchangeFinished = 1710,
   kRoutedAttemptEnded = 1711,
   kAttemptMoved = 1712,
--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -194,19 +194,6 @@
       }));
 }
 
-std::vector<VersionId> EndpointPool::Versions(const ServiceId& service) const {
-  std::vector<VersionId> versions;
-  for (const auto& item : entries_) {
-    const RoutedEndpoint& record = item.second.record;
-    if (record.service == service && record.state == EndpointState::kReady &&
-        std::find(versions.begin(), versions.end(), record.version) ==
-            versions.end()) {
-      versions.push_back(record.version);
-    }
-  }
-  return versions;
-}
-
 const ServiceSettings* EndpointPool::SettingsOf(const Entry& entry) const {
   return configuration_ == nullptr
              ? nullptr
--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -119,8 +119,6 @@
   int CountReady(const ServiceId& service,
                  const VersionId& version,
                  bool same) const;
-  // Versions of the ready endpoints of a service.
-  std::vector<VersionId> Versions(const ServiceId& service) const;
 
  private:
   // Signs of life of one endpoint or of all endpoints of a data centre.
--- a/src/fleet/fleet_documents.h
+++ b/src/fleet/fleet_documents.h
@@ -65,13 +65,10 @@
 
 struct ServiceSettings {
   ServiceId service;
-  int max_connections = 0;
   std::chrono::milliseconds cold_start{0};
   // Requests a second that an endpoint bears while it is cold; 0: no limit.
   double cold_requests_per_second = 0;
-  // Requests that a model engine runs at once; 0 for a plain service.
-  int engine_slots = 0;
-  std::int64_t engine_memory_tokens = 0;
+  // Empty for a plain service.
   std::vector<ModelCost> models;
 };
 
--- a/src/fleet/rollout_driver.h
+++ b/src/fleet/rollout_driver.h
@@ -50,9 +50,8 @@
   std::optional<RolloutProgress> progress;
   std::chrono::milliseconds store_now{0};
   CandidateVerdict verdict = CandidateVerdict::kUndecided;
-  // Ready endpoints of the candidate and of the other versions.
+  // Ready endpoints of the candidate.
   int candidate_endpoints = 0;
-  int stable_endpoints = 0;
   // Requests that still run on other versions, over all instances.
   int stable_in_flight = 0;
 };
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -150,6 +150,14 @@
 
 void Forwarder::StartAttempt(Exchange* exchange,
                              const RoutedEndpoint& endpoint) {
+  if (exchange->runs > 0 && !exchange->route->repeatable()) {
+    log_->Write(EventId::kInvariantViolated,
+                {RequestId(exchange->metadata.request_id), {}, {}},
+                "a request that may run once was about to be sent again");
+    metrics_->CountInvariantViolation("at_most_once");
+    GiveUp(exchange, 502, "invariant");
+    return;
+  }
   TimePoint now = transport_->Now();
   EndpointAttempt attempt;
   attempt.endpoint = endpoint.endpoint;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -62,9 +62,6 @@
         store_calls(CounterFamily(registry,
                                   "filbertshift_store_calls_total",
                                   "Calls to the store by table and outcome.")),
-        dropped_lines(CounterFamily(registry,
-                                    "filbertshift_log_lines_dropped_total",
-                                    "Log lines dropped by a full buffer.")),
         violations(CounterFamily(registry,
                                  "filbertshift_gateway_violations_total",
                                  "Failed checks of an invariant.")),
@@ -94,7 +91,6 @@
   prometheus::Family<prometheus::Counter>& repeats;
   prometheus::Family<prometheus::Counter>& rejected;
   prometheus::Family<prometheus::Counter>& store_calls;
-  prometheus::Family<prometheus::Counter>& dropped_lines;
   prometheus::Family<prometheus::Counter>& violations;
   prometheus::Family<prometheus::Histogram>& first_byte;
   prometheus::Family<prometheus::Histogram>& duration;
@@ -147,10 +143,6 @@
       .Increment();
 }
 
-void GatewayMetrics::CountLogLinesDropped(std::uint64_t lines) {
-  families_->dropped_lines.Add({}).Increment(static_cast<double>(lines));
-}
-
 void GatewayMetrics::CountInvariantViolation(std::string_view invariant) {
   families_->violations.Add({{"invariant", std::string(invariant)}})
       .Increment();
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -28,7 +28,6 @@
   void ObserveExchange(const std::string& route,
                        std::chrono::microseconds time);
   void CountStoreCall(std::string_view table, std::string_view outcome);
-  void CountLogLinesDropped(std::uint64_t lines);
   void CountInvariantViolation(std::string_view invariant);
   void SetInProgress(std::size_t exchanges);
   void SetEndpoints(std::size_t endpoints);
--- a/src/gateway/gateway_ports.h
+++ b/src/gateway/gateway_ports.h
@@ -30,7 +30,6 @@
   std::string api_key;
   std::string model;
   std::int64_t prompt_tokens = 0;
-  std::int64_t max_output_tokens = 0;
   // Requests with the same session belong together; empty if missing.
   std::string session;
   // In order; the last one belongs to the request itself.
--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -128,8 +128,6 @@
   inputs.verdict = JudgeCandidate(evidence, order.service, order.to);
   inputs.candidate_endpoints =
       forwarder_->pool().CountReady(order.service, order.to, true);
-  inputs.stable_endpoints =
-      forwarder_->pool().CountReady(order.service, order.to, false);
   inputs.stable_in_flight = SharedStableInFlight(order);
   bool completed = progress != nullptr &&
                    progress->order_version == order.order_version &&
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -167,11 +167,10 @@
   listener_->OnChanges(table_, answer);
   auto taken = transport_->Now() - called_at_;
   milliseconds rest = duration_cast<milliseconds>(min_interval_ - taken);
-  interval_timer_ =
-      transport_->After(std::max(rest, milliseconds(1)), [this] {
-        interval_timer_.reset();
-        Call();
-      });
+  interval_timer_ = transport_->After(std::max(rest, milliseconds(1)), [this] {
+    interval_timer_.reset();
+    Call();
+  });
 }
 
 void StoreFollower::Trouble(std::string_view detail) {
--- a/tests/unit/fleet/rollout_driver_test.cc
+++ b/tests/unit/fleet/rollout_driver_test.cc
@@ -16,7 +16,6 @@
   RolloutInputs inputs;
   inputs.order = {ServiceId("s"), VersionId("v2"), deadline, 7};
   inputs.candidate_endpoints = 3;
-  inputs.stable_endpoints = 3;
   return inputs;
 }
 
--- a/tests/unit/gateway/whole_path_test.cc
+++ b/tests/unit/gateway/whole_path_test.cc
@@ -25,7 +25,7 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
-  bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
+  REQUIRE(bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0);
   getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
   close(descriptor);
   return ntohs(address.sin_port);
