Keep the exposure limit of rollouts without relying on a verdict

Ruled out: a verdict that comes sooner.

Change: the full share is given only when the limit would hold if all requests until the deadline went to the candidate, at 1.5 times the latest rate. The member rows tell the requests sent by version. An instance waits for its own step to show before it writes again: it tried up to five times a step before.

--- a/src/fleet/member_state.cc
+++ b/src/fleet/member_state.cc
@@ -17,7 +17,8 @@
       {key.service.value(), key.version.value(), key.route, counts.answers,
        counts.failures, counts.first_bytes,
        static_cast<std::int64_t>(counts.first_byte_log_sum * kLogScale),
-       counts.gaps, static_cast<std::int64_t>(counts.gap_log_sum * kLogScale)});
+       counts.gaps, static_cast<std::int64_t>(counts.gap_log_sum * kLogScale),
+       counts.sends});
 }
 
 void DecodeCounts(const json& entry, RolloutEvidence* evidence) {
@@ -31,6 +32,7 @@
   counts.first_byte_log_sum = entry.at(6).get<double>() / kLogScale;
   counts.gaps = entry.at(7).get<std::int64_t>();
   counts.gap_log_sum = entry.at(8).get<double>() / kLogScale;
+  counts.sends = entry.at(9).get<std::int64_t>();
 }
 
 }  // namespace
--- a/src/fleet/rollout_driver.cc
+++ b/src/fleet/rollout_driver.cc
@@ -15,16 +15,16 @@
 // meanwhile which sessions are in use on the stable version.
 constexpr milliseconds kAnnounceTime{2000};
 constexpr int kFullPermille = 1000;
-// Shares of the second half, each kept for a step's time.
-constexpr int kSecondHalfSteps[] = {300, 600, kFullPermille};
-// A step lasts this part of the deadline.
-constexpr int kStepsPerDeadline = 16;
-// Time between the half and the first step, for differences between the
+// Time between the half and the full share, for differences between the
 // instances' views of it.
 constexpr milliseconds kHalfMargin{400};
+// The full share is kept for this part of the deadline at least.
+constexpr int kFullSharesPerDeadline = 16;
 // A rollout that waits for requests on the stable version ends this long before
 // its deadline.
-constexpr milliseconds kDeadlineMargin{1800};
+constexpr milliseconds kDeadlineMargin{700};
+// Traffic may grow by this factor after the full share was given.
+constexpr double kTrafficReserve = 1.5;
 
 std::optional<RolloutProgress> Change(const RolloutInputs& inputs,
                                       int permille,
@@ -36,13 +36,15 @@
   return next;
 }
 
-int NextStep(int permille) {
-  for (int step : kSecondHalfSteps) {
-    if (step > permille) {
-      return step;
-    }
-  }
-  return kFullPermille;
+// Whether the limit would hold with all requests until the deadline on the
+// candidate. Faults may show under a load that the first share does not bring,
+// so no verdict is relied on.
+bool FullShareKeepsLimit(const RolloutInputs& inputs, milliseconds time_left) {
+  double coming = inputs.traffic.per_second * kTrafficReserve *
+                  std::chrono::duration<double>(time_left).count();
+  double all = static_cast<double>(inputs.traffic.all) + coming;
+  double candidate = static_cast<double>(inputs.traffic.candidate) + coming;
+  return candidate <= inputs.limit.share * all + inputs.limit.tolerance;
 }
 
 }  // namespace
@@ -107,19 +109,17 @@
   if (elapsed < deadline / 2 + kHalfMargin) {
     return std::nullopt;
   }
+  milliseconds time_left = deadline - elapsed;
+  bool last_chance = time_left <= kDeadlineMargin;
   if (progress.exposure_permille < kFullPermille) {
-    milliseconds step = deadline / kStepsPerDeadline;
-    bool first_step = progress.in_first_share();
-    bool due = first_step || inputs.store_now - progress.changed_at >= step;
+    bool due = last_chance || FullShareKeepsLimit(inputs, time_left);
     if (!due || inputs.candidate_endpoints == 0) {
       return std::nullopt;
     }
-    return Change(inputs, NextStep(progress.exposure_permille),
-                  RolloutPhase::kInProgress);
+    return Change(inputs, kFullPermille, RolloutPhase::kInProgress);
   }
-  bool last_chance = elapsed >= deadline - kDeadlineMargin;
-  bool settled =
-      inputs.store_now - progress.changed_at >= deadline / kStepsPerDeadline;
+  bool settled = inputs.store_now - progress.changed_at >=
+                 deadline / kFullSharesPerDeadline;
   if (last_chance || (settled && inputs.stable_in_flight == 0)) {
     return Change(inputs, kFullPermille, RolloutPhase::kCompleted);
   }
--- a/src/fleet/rollout_driver.h
+++ b/src/fleet/rollout_driver.h
@@ -14,8 +14,7 @@
 
 namespace filbertshift {
 
-// Share of sessions that a candidate gets in the first half of its rollout, in
-// thousandths.
+// Share of sessions that a candidate gets until it gets all, in thousandths.
 constexpr int kFirstSharePermille = 100;
 
 // The row all instances route by. Times are of the store's clock.
@@ -45,6 +44,22 @@
 // Empty if the text is not a progress row.
 std::optional<RolloutProgress> DecodeRolloutProgress(const std::string& text);
 
+// Most requests that a bad candidate may get from its order to its deadline.
+struct ExposureLimit {
+  // Part of all requests of the service.
+  double share = 1;
+  // Requests beyond that part.
+  double tolerance = 0;
+};
+
+// Requests sent since the order, over all instances as far as they have told.
+struct RolloutTraffic {
+  std::int64_t candidate = 0;
+  std::int64_t all = 0;
+  // Latest rate of all requests of the service.
+  double per_second = 0;
+};
+
 struct RolloutInputs {
   RolloutOrder order;
   std::optional<RolloutProgress> progress;
@@ -54,6 +69,8 @@
   int candidate_endpoints = 0;
   // Requests that still run on other versions, over all instances.
   int stable_in_flight = 0;
+  ExposureLimit limit;
+  RolloutTraffic traffic;
 };
 
 // The next progress row; empty if nothing changes.
--- a/src/fleet/rollout_evidence.cc
+++ b/src/fleet/rollout_evidence.cc
@@ -65,6 +65,7 @@
 }  // namespace
 
 void AnswerCounts::Add(const AnswerCounts& other) {
+  sends += other.sends;
   answers += other.answers;
   failures += other.failures;
   first_bytes += other.first_bytes;
@@ -73,6 +74,10 @@
   gap_log_sum += other.gap_log_sum;
 }
 
+void RolloutEvidence::OnSend(const EvidenceKey& key) {
+  ++counts_[key].sends;
+}
+
 void RolloutEvidence::OnAnswer(const EvidenceKey& key, bool failed) {
   AnswerCounts& counts = counts_[key];
   ++counts.answers;
@@ -106,6 +111,24 @@
   }
 }
 
+std::int64_t RolloutEvidence::SendsTo(const ServiceId& service,
+                                      const VersionId& version) const {
+  std::int64_t sends = 0;
+  for (const auto& [key, counts] : counts_) {
+    sends +=
+        key.service == service && key.version == version ? counts.sends : 0;
+  }
+  return sends;
+}
+
+std::int64_t RolloutEvidence::SendsTo(const ServiceId& service) const {
+  std::int64_t sends = 0;
+  for (const auto& [key, counts] : counts_) {
+    sends += key.service == service ? counts.sends : 0;
+  }
+  return sends;
+}
+
 CandidateVerdict JudgeCandidate(const RolloutEvidence& evidence,
                                 const ServiceId& service,
                                 const VersionId& candidate) {
--- a/src/fleet/rollout_evidence.h
+++ b/src/fleet/rollout_evidence.h
@@ -16,6 +16,8 @@
 // Sums over the answers of one version on one route. Durations enter as
 // logarithms of milliseconds, so that a few long ones do not decide.
 struct AnswerCounts {
+  // Requests sent, answered or not.
+  std::int64_t sends = 0;
   std::int64_t answers = 0;
   // Failures that the endpoint itself reported; not those of the network.
   std::int64_t failures = 0;
@@ -39,6 +41,7 @@
 
 class RolloutEvidence {
  public:
+  void OnSend(const EvidenceKey& key);
   void OnAnswer(const EvidenceKey& key, bool failed);
   void OnFirstByte(const EvidenceKey& key, std::chrono::microseconds time);
   // Mean time between the events of one whole answer.
@@ -46,6 +49,11 @@
   void Add(const RolloutEvidence& other);
   void Forget(const ServiceId& service);
 
+  // Requests sent to the version, and to all versions of the service.
+  std::int64_t SendsTo(const ServiceId& service,
+                       const VersionId& version) const;
+  std::int64_t SendsTo(const ServiceId& service) const;
+
   const std::map<EvidenceKey, AnswerCounts>& counts() const { return counts_; }
   AnswerCounts& at(const EvidenceKey& key) { return counts_[key]; }
 
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -181,6 +181,7 @@
   if (exchange->sends > 0) {
     repeats_.OnRepeat(exchange->service, now);
   }
+  evidence_.OnSend(KeyOf(*exchange));
   ++exchange->sends;
 }
 
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -63,6 +63,12 @@
       NumberField("cold_tolerance", &S::cold_tolerance, kOptional,
                   {0, kMaxCount}, "requests",
                   "Requests in any second beyond that rate."),
+      NumberField("rollout_share", &S::rollout_share, kOptional, {0, 1}, "",
+                  "Part of the requests of a service, until the deadline of a "
+                  "rollout, that a bad version may get."),
+      NumberField("rollout_tolerance", &S::rollout_tolerance, kOptional,
+                  {0, kMaxCount}, "requests",
+                  "Requests of a bad version beyond that part."),
   };
 }
 
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -38,6 +38,10 @@
   // over all instances.
   double cold_overshoot = 1;
   double cold_tolerance = 0;
+  // Requests of a bad candidate from its order to its deadline: share of all
+  // requests + tolerance, over all instances.
+  double rollout_share = 0.15;
+  double rollout_tolerance = 0;
 
   std::chrono::milliseconds connect_timeout{300};
   // Sent bytes that are not acknowledged for this long end a connection.
--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -14,19 +14,46 @@
 
 // A step that the instance of the rank before has not taken for this long is
 // taken by the next one.
-constexpr milliseconds kTurnTime{700};
+constexpr milliseconds kTurnTime{250};
+// A step that was written is in the view after this long, or is tried again.
+constexpr milliseconds kRowTurnaround{700};
+// Time over which the rate of requests is taken. Members tell theirs once a
+// second.
+constexpr milliseconds kRateTime{4000};
 
 }  // namespace
 
+void RateMeter::Add(std::int64_t value, TimePoint now) {
+  if (!samples_.empty() && value < samples_.back().value) {
+    samples_.clear();
+  }
+  samples_.push_back({value, now});
+  while (samples_.size() > 2 && now - samples_[1].at >= kRateTime) {
+    samples_.pop_front();
+  }
+}
+
+double RateMeter::PerSecond() const {
+  if (samples_.size() < 2) {
+    return 0;
+  }
+  std::chrono::duration<double> time = samples_.back().at - samples_.front().at;
+  auto grown =
+      static_cast<double>(samples_.back().value - samples_.front().value);
+  return time.count() > 0 ? grown / time.count() : 0;
+}
+
 RolloutControl::RolloutControl(InstanceId instance,
                                const DocumentCodec& codec,
                                const FleetView& view,
+                               const ExposureLimit& limit,
                                Forwarder* forwarder,
                                StoreWriter* writer,
                                EventLog* log)
     : instance_(std::move(instance)),
       codec_(codec),
       view_(view),
+      limit_(limit),
       forwarder_(forwarder),
       writer_(writer),
       log_(log) {}
@@ -40,6 +67,8 @@
     if (known != order.order_version) {
       known = order.order_version;
       forwarder_->evidence().Forget(order.service);
+      rates_.erase(order.service);
+      written_.erase(order.service);
     }
     if (store_time.has_value()) {
       StepOne(order, *store_time, now);
@@ -114,6 +143,18 @@
   return total;
 }
 
+RolloutTraffic RolloutControl::TrafficOf(const RolloutOrder& order,
+                                         const RolloutEvidence& evidence,
+                                         TimePoint now) {
+  RolloutTraffic traffic;
+  traffic.candidate = evidence.SendsTo(order.service, order.to);
+  traffic.all = evidence.SendsTo(order.service);
+  RateMeter& rate = rates_[order.service];
+  rate.Add(traffic.all, now);
+  traffic.per_second = rate.PerSecond();
+  return traffic;
+}
+
 void RolloutControl::StepOne(const RolloutOrder& order,
                              milliseconds store_time,
                              TimePoint now) {
@@ -129,6 +170,8 @@
   inputs.candidate_endpoints =
       forwarder_->pool().CountReady(order.service, order.to, true);
   inputs.stable_in_flight = SharedStableInFlight(order);
+  inputs.limit = limit_;
+  inputs.traffic = TrafficOf(order, evidence, now);
   bool completed = progress != nullptr &&
                    progress->order_version == order.order_version &&
                    progress->state == RolloutPhase::kCompleted;
@@ -144,11 +187,20 @@
     due_since_.erase(order.service);
     return;
   }
-  if (IsMyTurn(order, now)) {
+  if (IsMyTurn(order, now) && !IsAwaited(order, *next, now)) {
+    written_[order.service] = {next->exposure_permille, next->state, now};
     WriteProgress(order, *next);
   }
 }
 
+bool RolloutControl::IsAwaited(const RolloutOrder& order,
+                               const RolloutProgress& next,
+                               TimePoint now) {
+  const WrittenStep& written = written_[order.service];
+  return written.exposure_permille == next.exposure_permille &&
+         written.state == next.state && now - written.at < kRowTurnaround;
+}
+
 bool RolloutControl::IsMyTurn(const RolloutOrder& order, TimePoint now) {
   TimePoint since = due_since_.emplace(order.service, now).first->second;
   int rank = 0;
@@ -174,8 +226,9 @@
   RolloutEvidence evidence = SharedEvidence();
   for (const auto& [key_of, counts] : evidence.counts()) {
     if (key_of.service == order.service) {
-      detail += fmt::format(" {}@{}={}/{}", key_of.version.value(),
-                            key_of.route, counts.failures, counts.answers);
+      detail +=
+          fmt::format(" {}@{}={}/{}/{}", key_of.version.value(), key_of.route,
+                      counts.failures, counts.answers, counts.sends);
     }
   }
   writing_ = writer_->Submit(
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -4,6 +4,7 @@
 #ifndef SRC_GATEWAY_ROLLOUT_CONTROL_H_
 #define SRC_GATEWAY_ROLLOUT_CONTROL_H_
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -13,11 +14,27 @@
 
 namespace filbertshift {
 
+// Rate of a counter over the latest seconds.
+class RateMeter {
+ public:
+  // The counter's value at `now`; a lower one than before starts anew.
+  void Add(std::int64_t value, TimePoint now);
+  double PerSecond() const;
+
+ private:
+  struct Sample {
+    std::int64_t value;
+    TimePoint at;
+  };
+  std::deque<Sample> samples_;
+};
+
 class RolloutControl {
  public:
   RolloutControl(InstanceId instance,
                  const DocumentCodec& codec,
                  const FleetView& view,
+                 const ExposureLimit& limit,
                  Forwarder* forwarder,
                  StoreWriter* writer,
                  EventLog* log);
@@ -32,25 +49,43 @@
   std::vector<std::uint32_t> KeptSessions(TimePoint now) const;
 
  private:
+  struct WrittenStep {
+    int exposure_permille = -1;
+    RolloutPhase state = RolloutPhase::kInProgress;
+    TimePoint at{};
+  };
+
   void StepOne(const RolloutOrder& order,
                std::chrono::milliseconds store_time,
                TimePoint now);
   void TakeKeptSessions();
   RolloutEvidence SharedEvidence() const;
   int SharedStableInFlight(const RolloutOrder& order) const;
+  RolloutTraffic TrafficOf(const RolloutOrder& order,
+                           const RolloutEvidence& evidence,
+                           TimePoint now);
   // Instances take turns by rank, so that one of them writes as a rule.
   bool IsMyTurn(const RolloutOrder& order, TimePoint now);
+  // This instance has just written the step, and the view may not show it yet.
+  bool IsAwaited(const RolloutOrder& order,
+                 const RolloutProgress& next,
+                 TimePoint now);
   void WriteProgress(const RolloutOrder& order,
                      const RolloutProgress& progress);
 
   const InstanceId instance_;
   const DocumentCodec& codec_;
   const FleetView& view_;
+  const ExposureLimit limit_;
   Forwarder* const forwarder_;
   StoreWriter* const writer_;
   EventLog* const log_;
   // Since when a step has been due, by service.
   std::map<ServiceId, TimePoint> due_since_;
+  // Latest step that this instance wrote, by service.
+  std::map<ServiceId, WrittenStep> written_;
+  // Sends to all versions, told at a moment; by service.
+  std::map<ServiceId, RateMeter> rates_;
   // Latest order that evidence has been collected for.
   std::map<ServiceId, std::int64_t> known_orders_;
   bool writing_ = false;
--- a/tests/unit/fleet/rollout_driver_test.cc
+++ b/tests/unit/fleet/rollout_driver_test.cc
@@ -50,6 +50,64 @@
   }
 }
 
+// Requests of one simulated rollout whose version shows no fault before its
+// deadline. The traffic grows by half at a random moment; what the instances
+// tell each other is late, and they see a step up to half a second after it.
+struct ExposureResult {
+  double candidate = 0;
+  double all = 0;
+  bool completed = false;
+};
+
+ExposureResult SimulateExposure(unsigned seed, milliseconds deadline) {
+  constexpr milliseconds kTick{50};
+  constexpr std::size_t kEvidenceLagTicks = 20;
+  std::mt19937 random(seed);
+  std::uniform_real_distribution<double> uniform(0, 1);
+  double usual = 10 + 190 * uniform(random);
+  auto burst_at = milliseconds(static_cast<std::int64_t>(
+      uniform(random) * static_cast<double>(deadline.count())));
+  RolloutInputs inputs = Inputs(deadline);
+  inputs.limit = {0.15, 30};
+  inputs.stable_in_flight = 40;
+  std::vector<RolloutTraffic> told;
+  ExposureResult result;
+  milliseconds start(5000);
+  for (milliseconds elapsed(0); elapsed < deadline; elapsed += kTick) {
+    double rate = elapsed >= burst_at ? usual * 1.5 : usual;
+    double sent = rate * std::chrono::duration<double>(kTick).count();
+    int permille =
+        inputs.progress.has_value() ? inputs.progress->exposure_permille : 0;
+    result.all += sent;
+    result.candidate += sent * permille / 1000.0;
+    told.push_back({static_cast<std::int64_t>(result.candidate),
+                    static_cast<std::int64_t>(result.all), rate});
+    inputs.traffic =
+        told[told.size() > kEvidenceLagTicks ? told.size() - kEvidenceLagTicks
+                                             : 0];
+    inputs.store_now = start + elapsed;
+    if (auto next = NextRolloutProgress(inputs)) {
+      inputs.progress = *next;
+    }
+  }
+  result.completed = inputs.progress->state == RolloutPhase::kCompleted;
+  return result;
+}
+
+// Guards against a version whose faults show only under a load that the first
+// share does not bring, or only late.
+TEST_CASE("the exposure limit holds without a verdict", "[fleet]") {
+  for (int seconds : {12, 16, 20, 24, 60}) {
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+      INFO("deadline " << seconds << " s, seed " << seed);
+      ExposureResult result =
+          SimulateExposure(seed, std::chrono::seconds(seconds));
+      CHECK(result.candidate <= 0.15 * result.all + 30);
+      CHECK(result.completed);
+    }
+  }
+}
+
 TEST_CASE("a bad version is reverted and stays so", "[fleet]") {
   RolloutInputs inputs = Inputs(milliseconds(20000));
   inputs.progress = NextRolloutProgress(inputs);
--- a/tests/unit/gateway/gateway_settings_test.cc
+++ b/tests/unit/gateway/gateway_settings_test.cc
@@ -25,6 +25,8 @@
   text = std::regex_replace(text, std::regex("\\{\\{[#/][a-z_.]*\\}\\}"), "");
   text = std::regex_replace(
       text, std::regex("\\{\\{(listen|platform)[a-z_.]*\\}\\}"), "10.0.0.1:80");
+  text = std::regex_replace(
+      text, std::regex("\\{\\{bounds.[a-z_]*_share\\}\\}"), "0.15");
   text =
       std::regex_replace(text, std::regex("\\{\\{bounds[a-z_.]*\\}\\}"), "9.8");
   text = std::regex_replace(text, std::regex("\\{\\{[a-z_.]*\\}\\}"), "name-1");
@@ -38,6 +40,8 @@
   CHECK(settings.instance == InstanceId("name-1"));
   CHECK(settings.store_address == "10.0.0.1:80");
   CHECK(settings.repeat_window_s == Approx(9.8));
+  CHECK(settings.rollout_share == Approx(0.15));
+  CHECK(settings.rollout_tolerance == Approx(9.8));
   settings = ParseGatewaySettings(
       "t", Fill(Template(), "\"10.0.0.1:1\",\"10.0.0.2:1\""));
   CHECK(settings.seed_peers.size() == 2);
