--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -188,6 +188,9 @@
        "answer."},
       {EventId::kPeerViewFailed, kInfo, "peer_view_failed",
        "Another instance did not give its view."},
+      {EventId::kViewSourceChanged, kInfo, "view_source_changed",
+       "The view is read from the store, or from the instance in the detail "
+       "that reads it."},
       {EventId::kInstanceCountChanged, kInfo, "instance_count_changed",
        "The number of live instances that share limits has changed."},
   };
--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -100,6 +100,7 @@
   kStoreReachable = 1742,
   kPeerViewTaken = 1743,
   kPeerViewFailed = 1744,
+  kViewSourceChanged = 1745,
   kInstanceCountChanged = 1750,
 };
 
--- a/src/fleet/fleet_view.cc
+++ b/src/fleet/fleet_view.cc
@@ -15,6 +15,10 @@
 // source: the platform's service discovery.
 constexpr milliseconds kLapseGrace{2000};
 
+// Removals that are kept for other instances; one that is further behind reads
+// the whole table.
+constexpr std::size_t kMaxRemovals = 1000;
+
 bool StartsWith(const std::string& text, std::string_view prefix) {
   return text.compare(0, prefix.size(), prefix) == 0;
 }
@@ -45,7 +49,7 @@
   }
   Table& known = At(table);
   known.as_of = std::max(known.as_of, as_of);
-  known.confirmed_at = now;
+  known.confirmed_at = std::max(known.confirmed_at, now);
 }
 
 bool FleetView::ReplaceTable(const TableSnapshot& snapshot,
@@ -55,6 +59,9 @@
   if (snapshot.as_of < known.as_of) {
     return false;
   }
+  if (known.confirmed_at == TimePoint()) {
+    known.removals_after = snapshot.as_of;
+  }
   std::set<std::string> present;
   for (const StoreRow& row : snapshot.rows) {
     present.insert(row.key);
@@ -72,35 +79,51 @@
   return true;
 }
 
-bool FleetView::Apply(StoreTable table,
+void FleetView::Apply(StoreTable table,
                       const StoreRow& row,
                       RowSource source,
                       TimePoint now) {
   Table& known = At(table);
   auto found = known.rows.find(row.key);
-  if (found != known.rows.end() && found->second.version >= row.version) {
-    return false;
+  if (found != known.rows.end() && found->second.row.version >= row.version) {
+    return;
   }
-  if (row.removed) {
-    if (found == known.rows.end()) {
-      return false;
-    }
-    known.rows.erase(found);
-  } else {
-    known.rows[row.key] = row;
+  if (row.removed && found == known.rows.end()) {
+    return;
   }
+  bool changed = true;
   switch (table) {
     case StoreTable::kOperator:
       ApplyOperatorRow(row);
       break;
     case StoreTable::kEndpoints:
-      ApplyEndpointRow(row, source, now);
+      changed = ApplyEndpointRow(row, source, now);
       break;
     case StoreTable::kInstances:
       ApplyInstanceRow(row, now);
       break;
   }
-  return true;
+  if (row.removed) {
+    known.rows.erase(found);
+    KeepRemoval(&known, row);
+    return;
+  }
+  // A record that lapsed and came back is unchanged here, but other instances
+  // have to see it again.
+  bool is_new = found == known.rows.end();
+  KnownRow& kept = known.rows[row.key];
+  kept.row = row;
+  if (changed || is_new) {
+    kept.content_version = row.version;
+  }
+}
+
+void FleetView::KeepRemoval(Table* table, const StoreRow& row) {
+  table->removals.push_back(row);
+  if (table->removals.size() > kMaxRemovals) {
+    table->removals_after = table->removals.front().version;
+    table->removals.pop_front();
+  }
 }
 
 void FleetView::ApplyOperatorRow(const StoreRow& row) {
@@ -174,13 +197,13 @@
   orders_[service] = *order;
 }
 
-void FleetView::ApplyEndpointRow(const StoreRow& row,
+bool FleetView::ApplyEndpointRow(const StoreRow& row,
                                  RowSource source,
                                  TimePoint now) {
   EndpointId endpoint(row.key);
   if (row.removed) {
     RemoveEndpoint(endpoint, source, now);
-    return;
+    return true;
   }
   std::vector<Finding> findings;
   std::optional<RoutedEndpoint> record =
@@ -188,15 +211,16 @@
   LogFindings(row.key, findings);
   if (!record.has_value()) {
     RemoveEndpoint(endpoint, source, now);
-    return;
+    return true;
   }
   lapsed_.erase(endpoint);
   auto found = endpoints_.find(endpoint);
   if (found != endpoints_.end() && SameRecord(found->second, *record)) {
-    return;
+    return false;
   }
   endpoints_[endpoint] = *record;
   listener_->OnEndpoint(*record);
+  return true;
 }
 
 void FleetView::RemoveEndpoint(const EndpointId& endpoint,
@@ -276,13 +300,41 @@
   return At(table).confirmed_at;
 }
 
-TableSnapshot FleetView::Snapshot(StoreTable table) const {
+TableChanges FleetView::ChangesSince(StoreTable table,
+                                     std::int64_t version) const {
   const Table& known = At(table);
-  TableSnapshot snapshot{table, known.as_of, {}};
-  for (const auto& entry : known.rows) {
-    snapshot.rows.push_back(entry.second);
+  TableChanges changes{table, known.as_of, version < known.removals_after, {}};
+  if (!changes.whole) {
+    for (const StoreRow& row : known.removals) {
+      if (row.version > version && known.rows.count(row.key) == 0) {
+        changes.rows.push_back(row);
+      }
+    }
+  }
+  for (const auto& [key, entry] : known.rows) {
+    if (changes.whole || entry.content_version > version) {
+      changes.rows.push_back(entry.row);
+    }
+  }
+  return changes;
+}
+
+bool FleetView::TakeFromPeer(const TableChanges& changes,
+                             TimePoint confirmed_at) {
+  const Table& known = At(changes.table);
+  if (changes.as_of < known.as_of ||
+      (changes.as_of == known.as_of && confirmed_at <= known.confirmed_at)) {
+    return false;
+  }
+  bool newer = changes.as_of > known.as_of;
+  if (changes.whole) {
+    ReplaceTable({changes.table, changes.as_of, changes.rows}, RowSource::kPeer,
+                 confirmed_at);
+  } else {
+    ApplyChanges(changes.table, changes.rows, changes.as_of, RowSource::kPeer,
+                 confirmed_at);
   }
-  return snapshot;
+  return newer;
 }
 
 const RolloutProgress* FleetView::FindProgress(const ServiceId& service) const {
@@ -294,7 +346,7 @@
   const Table& known = At(StoreTable::kInstances);
   auto found =
       known.rows.find(std::string(kProgressKeyPrefix) + service.value());
-  return found == known.rows.end() ? 0 : found->second.version;
+  return found == known.rows.end() ? 0 : found->second.row.version;
 }
 
 void FleetView::LogFindings(const std::string& key,
--- a/src/fleet/fleet_view.h
+++ b/src/fleet/fleet_view.h
@@ -5,6 +5,7 @@
 #define SRC_FLEET_FLEET_VIEW_H_
 
 #include <array>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,6 +36,15 @@
   std::vector<StoreRow> rows;
 };
 
+// What another instance needs to be as current as this one.
+struct TableChanges {
+  StoreTable table = StoreTable::kOperator;
+  std::int64_t as_of = 0;
+  // The rows are the whole table. Otherwise removed rows are among them.
+  bool whole = false;
+  std::vector<StoreRow> rows;
+};
+
 // Key prefixes in the table kInstances.
 constexpr std::string_view kMemberKeyPrefix = "instance/";
 constexpr std::string_view kProgressKeyPrefix = "rollout/";
@@ -71,7 +81,12 @@
   std::int64_t as_of(StoreTable table) const;
   // Time at which the table was last known to be current.
   TimePoint confirmed_at(StoreTable table) const;
-  TableSnapshot Snapshot(StoreTable table) const;
+  // What has changed after a version, without rows in which only a heartbeat
+  // has changed.
+  TableChanges ChangesSince(StoreTable table, std::int64_t version) const;
+  // Takes what another instance knows; `confirmed_at`: when it was current.
+  // Returns whether it was newer than what is known.
+  bool TakeFromPeer(const TableChanges& changes, TimePoint confirmed_at);
 
   // nullptr before the first configuration.
   std::shared_ptr<const FleetConfiguration> configuration() const {
@@ -98,24 +113,36 @@
   const std::map<InstanceId, Member>& members() const { return members_; }
 
  private:
+  struct KnownRow {
+    StoreRow row;
+    // Version at which more than a heartbeat changed.
+    std::int64_t content_version = 0;
+  };
+
   struct Table {
     std::int64_t as_of = 0;
     TimePoint confirmed_at{};
-    std::unordered_map<std::string, StoreRow> rows;
+    std::unordered_map<std::string, KnownRow> rows;
+    // Latest removals, oldest first.
+    std::deque<StoreRow> removals;
+    // Removals at or before this version are not among them.
+    std::int64_t removals_after = 0;
   };
 
   Table& At(StoreTable table) { return tables_[static_cast<int>(table)]; }
   const Table& At(StoreTable table) const {
     return tables_[static_cast<int>(table)];
   }
-  bool Apply(StoreTable table,
+  void Apply(StoreTable table,
              const StoreRow& row,
              RowSource source,
              TimePoint now);
+  static void KeepRemoval(Table* table, const StoreRow& row);
   void ApplyOperatorRow(const StoreRow& row);
   void ApplyConfiguration(const StoreRow& row);
   void ApplyOrder(const ServiceId& service, const StoreRow& row);
-  void ApplyEndpointRow(const StoreRow& row, RowSource source, TimePoint now);
+  // Returns whether more than a heartbeat changed.
+  bool ApplyEndpointRow(const StoreRow& row, RowSource source, TimePoint now);
   void ApplyInstanceRow(const StoreRow& row, TimePoint now);
   void RemoveEndpoint(const EndpointId& endpoint,
                       RowSource source,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -18,8 +18,6 @@
 // After joining, an instance leaves cold endpoints alone until the others have
 // counted it.
 constexpr milliseconds kColdJoinDelay{3500};
-// A table that was confirmed longer ago than this is asked of a peer.
-constexpr milliseconds kPeerReadAge{2300};
 // Added to the idle time of sessions, for differences between the instances'
 // and the callers' views of an end.
 constexpr milliseconds kSessionMargin{500};
@@ -43,8 +41,8 @@
 
 ForwarderBounds BoundsFrom(const GatewaySettings& settings) {
   ForwarderBounds bounds;
-  bounds.max_configuration_age = milliseconds(static_cast<std::int64_t>(
-      settings.configuration_apply_ms * kConfigurationAgePart));
+  bounds.max_configuration_age =
+      PartOfApplyTime(settings, kConfigurationAgePart);
   bounds.session_retention = Seconds(settings.session_s) + kSessionMargin;
   bounds.repeats.ratio = settings.repeat_ratio;
   bounds.repeats.window = Seconds(settings.repeat_window_s);
@@ -93,10 +91,18 @@
       caller_server_(transport, &forwarder_),
       readiness_handler_(*this),
       readiness_server_(transport, &readiness_handler_),
-      peer_service_(view_, *transport, metrics),
-      peer_server_(transport, &peer_service_),
       store_client_(transport, settings.connect_timeout),
       peer_client_(transport, settings.connect_timeout),
+      source_(settings,
+              adapter.store,
+              transport,
+              &store_client_,
+              &peer_client_,
+              &view_,
+              log,
+              metrics),
+      peer_service_(view_, source_, *transport, metrics),
+      peer_server_(transport, &peer_service_),
       writer_(settings.store_address,
               transport,
               &store_client_,
@@ -109,20 +115,10 @@
                 &forwarder_,
                 &writer_,
                 log),
-      peer_reader_(transport, &peer_client_, log, this),
       heartbeat_interval_(settings.heartbeat_interval) {
   forwarder_.SetServer(&caller_server_);
   readiness_handler_.SetServer(&readiness_server_);
   peer_service_.SetServer(&peer_server_);
-  const std::pair<StoreTable, milliseconds> tables[] = {
-      {StoreTable::kOperator, settings.operator_poll_interval},
-      {StoreTable::kEndpoints, settings.endpoint_poll_interval},
-      {StoreTable::kInstances, settings.instance_poll_interval}};
-  for (const auto& [table, interval] : tables) {
-    followers_.push_back(std::make_unique<StoreFollower>(
-        table, interval, settings.store_address, transport, &store_client_,
-        adapter.store, metrics, this));
-  }
 }
 
 Gateway::~Gateway() = default;
@@ -132,9 +128,7 @@
       EventId::kGatewayStarted,
       fmt::format("store={} callers={} incarnation={}", settings_.store_address,
                   settings_.caller_listen, incarnation_));
-  for (const std::unique_ptr<StoreFollower>& follower : followers_) {
-    follower->Start();
-  }
+  source_.Start();
   Tick();
 }
 
@@ -147,13 +141,14 @@
   TimePoint now = transport_->Now();
   view_.ExpireLapsed(now);
   forwarder_.versions().Expire(now);
-  CountInstances(now);
-  rollouts_.Step(StoreTime(now), now);
+  std::vector<LiveInstance> live = LiveInstances(now);
+  ShareLimits(static_cast<int>(live.size()), now);
+  rollouts_.Step(source_.StoreTime(), now);
   SetPace();
+  source_.Step(live, rollouts_.InProgress());
   if (now >= next_heartbeat_) {
     WriteHeartbeat();
   }
-  ReadPeerIfStale(now);
   UpdateMetrics(now);
   if (!was_ready_ && IsReady()) {
     was_ready_ = true;
@@ -169,16 +164,13 @@
 }
 
 // Evidence and kept sessions travel in member rows, so that these are written
-// and read more often during a rollout.
+// more often during a rollout.
 void Gateway::SetPace() {
-  bool rollout = rollouts_.InProgress();
-  heartbeat_interval_ = rollout ? settings_.rollout_heartbeat_interval
-                                : settings_.heartbeat_interval;
+  heartbeat_interval_ = rollouts_.InProgress()
+                            ? settings_.rollout_heartbeat_interval
+                            : settings_.heartbeat_interval;
   next_heartbeat_ =
       std::min(next_heartbeat_, transport_->Now() + heartbeat_interval_);
-  followers_[static_cast<std::size_t>(StoreTable::kInstances)]->SetMinInterval(
-      rollout ? settings_.rollout_instance_poll_interval
-              : settings_.instance_poll_interval);
 }
 
 void Gateway::WriteHeartbeat() {
@@ -207,58 +199,28 @@
   });
 }
 
-void Gateway::CountInstances(TimePoint now) {
+std::vector<LiveInstance> Gateway::LiveInstances(TimePoint now) const {
   // While the table is not read, nobody's row can change.
   auto table_age = now - view_.confirmed_at(StoreTable::kInstances);
-  int count = 0;
-  bool self_seen = false;
+  std::vector<LiveInstance> live{{settings_.instance, settings_.peer_listen}};
   for (const auto& [instance, member] : view_.members()) {
-    bool self = instance == settings_.instance;
-    self_seen = self_seen || self;
-    bool live = now - member.changed_at < kMemberTimeout + table_age;
-    count += self || live ? 1 : 0;
-  }
-  count += self_seen ? 0 : 1;
-  if (count != instance_count_) {
-    log_->Write(EventId::kInstanceCountChanged,
-                fmt::format("from={} to={}", instance_count_, count));
-    instance_count_ = count;
-  }
-  forwarder_.SetInstanceCount(count);
-  forwarder_.pool().SetColdAllowed(joined_at_.has_value() &&
-                                   now - *joined_at_ >= kColdJoinDelay);
-}
-
-std::vector<std::string> Gateway::PeerAddresses() const {
-  std::vector<std::string> addresses;
-  for (const auto& [instance, member] : view_.members()) {
-    if (instance != settings_.instance) {
-      addresses.push_back(member.state.peer_address);
-    }
-  }
-  for (const std::string& seed : settings_.seed_peers) {
-    if (seed != settings_.peer_listen &&
-        std::find(addresses.begin(), addresses.end(), seed) ==
-            addresses.end()) {
-      addresses.push_back(seed);
+    if (instance != settings_.instance &&
+        now - member.changed_at < kMemberTimeout + table_age) {
+      live.push_back({instance, member.state.peer_address});
     }
   }
-  return addresses;
+  return live;
 }
 
-void Gateway::ReadPeerIfStale(TimePoint now) {
-  bool stale = false;
-  for (int i = 0; i < kStoreTableCount; ++i) {
-    stale = stale ||
-            now - view_.confirmed_at(static_cast<StoreTable>(i)) > kPeerReadAge;
-  }
-  if (!stale || peer_reader_.busy()) {
-    return;
-  }
-  std::vector<std::string> addresses = PeerAddresses();
-  if (!addresses.empty()) {
-    peer_reader_.Read(addresses[next_peer_++ % addresses.size()]);
+void Gateway::ShareLimits(int instance_count, TimePoint now) {
+  if (instance_count != instance_count_) {
+    log_->Write(EventId::kInstanceCountChanged,
+                fmt::format("from={} to={}", instance_count_, instance_count));
+    instance_count_ = instance_count;
   }
+  forwarder_.SetInstanceCount(instance_count);
+  forwarder_.pool().SetColdAllowed(joined_at_.has_value() &&
+                                   now - *joined_at_ >= kColdJoinDelay);
 }
 
 void Gateway::UpdateMetrics(TimePoint now) {
@@ -302,14 +264,6 @@
   }
 }
 
-std::optional<milliseconds> Gateway::StoreTime(TimePoint now) const {
-  if (!store_clock_offset_.has_value()) {
-    return std::nullopt;
-  }
-  return duration_cast<milliseconds>(now.time_since_epoch()) +
-         *store_clock_offset_;
-}
-
 void Gateway::OnConfiguration(const FleetConfiguration& configuration) {
   caller_server_.SetLimits(configuration.limits);
   forwarder_.pool().SetConfiguration(view_.configuration());
@@ -334,55 +288,4 @@
   forwarder_.OnEndpointRemoved(endpoint);
 }
 
-std::int64_t Gateway::KnownVersion(StoreTable table) const {
-  return view_.as_of(table);
-}
-
-void Gateway::OnTable(const TableSnapshot& snapshot) {
-  view_.ReplaceTable(snapshot, RowSource::kStore, transport_->Now());
-}
-
-void Gateway::OnChanges(StoreTable table, const RowsAnswer& answer) {
-  view_.ApplyChanges(table, answer.rows, answer.as_of, RowSource::kStore,
-                     transport_->Now());
-}
-
-void Gateway::OnStoreTime(milliseconds store_time) {
-  if (!store_reachable_) {
-    store_reachable_ = true;
-    log_->Write(EventId::kStoreReachable, std::string());
-  }
-  store_clock_offset_ = store_time - duration_cast<milliseconds>(
-                                         transport_->Now().time_since_epoch());
-}
-
-void Gateway::OnStoreTrouble(StoreTable table, std::string_view detail) {
-  if (store_reachable_) {
-    store_reachable_ = false;
-    log_->Write(EventId::kStoreUnreachable,
-                fmt::format("table={} {}", StoreTableName(table), detail));
-  }
-  view_.OnStoreTrouble(transport_->Now());
-}
-
-void Gateway::OnPeerTables(const std::string& peer,
-                           const std::vector<PeerTable>& tables) {
-  TimePoint now = transport_->Now();
-  for (const PeerTable& table : tables) {
-    StoreTable number = table.snapshot.table;
-    std::int64_t known = view_.as_of(number);
-    TimePoint confirmed = now - table.age;
-    if (table.snapshot.as_of > known) {
-      view_.ReplaceTable(table.snapshot, RowSource::kPeer, confirmed);
-      log_->Write(EventId::kPeerViewTaken,
-                  fmt::format("peer={} table={} from={} to={} age_ms={}", peer,
-                              StoreTableName(number), known,
-                              table.snapshot.as_of, table.age.count()));
-    } else if (table.snapshot.as_of == known &&
-               confirmed > view_.confirmed_at(number)) {
-      view_.ApplyChanges(number, {}, known, RowSource::kPeer, confirmed);
-    }
-  }
-}
-
 }  // namespace filbertshift
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,8 +16,8 @@
 #include "src/gateway/gateway_settings.h"
 #include "src/gateway/peer_exchange.h"
 #include "src/gateway/rollout_control.h"
-#include "src/gateway/store_follower.h"
 #include "src/gateway/store_writer.h"
+#include "src/gateway/view_source.h"
 
 namespace filbertshift {
 
@@ -28,9 +28,7 @@
   const StoreProtocol& store;
 };
 
-class Gateway : public FleetViewListener,
-                public StoreFollowerListener,
-                public PeerReaderListener {
+class Gateway : public FleetViewListener {
  public:
   Gateway(const GatewaySettings& settings,
           const PlatformAdapter& adapter,
@@ -57,15 +55,6 @@
   void OnEndpoint(const RoutedEndpoint& record) override;
   void OnEndpointRemoved(const EndpointId& endpoint) override;
 
-  // StoreFollowerListener and PeerReaderListener:
-  std::int64_t KnownVersion(StoreTable table) const override;
-  void OnTable(const TableSnapshot& snapshot) override;
-  void OnChanges(StoreTable table, const RowsAnswer& answer) override;
-  void OnStoreTime(std::chrono::milliseconds store_time) override;
-  void OnStoreTrouble(StoreTable table, std::string_view detail) override;
-  void OnPeerTables(const std::string& peer,
-                    const std::vector<PeerTable>& tables) override;
-
  private:
   // Answers readiness checks.
   class ReadinessHandler : public HttpRequestHandler {
@@ -86,12 +75,11 @@
   void Tick();
   void SetPace();
   void WriteHeartbeat();
-  void CountInstances(TimePoint now);
-  void ReadPeerIfStale(TimePoint now);
-  std::vector<std::string> PeerAddresses() const;
+  // All live instances, with this one.
+  std::vector<LiveInstance> LiveInstances(TimePoint now) const;
+  void ShareLimits(int instance_count, TimePoint now);
   void UpdateMetrics(TimePoint now);
   void CheckShutdown();
-  std::optional<std::chrono::milliseconds> StoreTime(TimePoint now) const;
 
   const GatewaySettings settings_;
   Transport* const transport_;
@@ -103,15 +91,13 @@
   CallerServer caller_server_;
   ReadinessHandler readiness_handler_;
   CallerServer readiness_server_;
-  PeerService peer_service_;
-  CallerServer peer_server_;
   HttpClient store_client_;
   HttpClient peer_client_;
-  // In the order of StoreTable.
-  std::vector<std::unique_ptr<StoreFollower>> followers_;
+  ViewSource source_;
+  PeerService peer_service_;
+  CallerServer peer_server_;
   StoreWriter writer_;
   RolloutControl rollouts_;
-  PeerReader peer_reader_;
 
   std::uint64_t beat_ = 0;
   std::chrono::milliseconds heartbeat_interval_;
@@ -119,10 +105,6 @@
   // Time of the first own row in the store.
   std::optional<TimePoint> joined_at_;
   int instance_count_ = 1;
-  std::size_t next_peer_ = 0;
-  // Store clock minus local clock.
-  std::optional<std::chrono::milliseconds> store_clock_offset_;
-  bool store_reachable_ = true;
   bool was_ready_ = false;
   std::optional<TimePoint> shutdown_at_;
   std::function<void()> shutdown_done_;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -130,6 +130,12 @@
 
 }  // namespace
 
+std::chrono::milliseconds PartOfApplyTime(const GatewaySettings& settings,
+                                          double part) {
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(settings.configuration_apply_ms * part));
+}
+
 std::vector<FieldDescription> DescribeGatewaySettings() {
   return DescribeFields(GatewayFields());
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -57,6 +57,10 @@
   std::size_t log_buffer_lines = 20000;
 };
 
+// A part of configuration_apply_ms.
+std::chrono::milliseconds PartOfApplyTime(const GatewaySettings& settings,
+                                          double part);
+
 std::vector<FieldDescription> DescribeGatewaySettings();
 
 // Throws FindingsError with every fault.
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -16,7 +16,8 @@
 
 constexpr std::string_view kViewPath = "/v1/fleet-view";
 constexpr std::string_view kMetricsPath = "/metrics";
-constexpr milliseconds kReadTimeout{600};
+// An instance that depends on the answer has to read the store soon after.
+constexpr milliseconds kReadTimeout{400};
 constexpr milliseconds kMaxIdle{3600000};
 
 // The versions of "/v1/fleet-view/A/B/C", one for each table; 0 if missing.
@@ -36,52 +37,71 @@
   return versions;
 }
 
+// -1: not known.
+std::int64_t EncodeTime(const std::optional<milliseconds>& time) {
+  return time.has_value() ? time->count() : -1;
+}
+
+std::optional<milliseconds> DecodeTime(const json& value) {
+  auto count = value.get<std::int64_t>();
+  return count < 0 ? std::nullopt : std::make_optional(milliseconds(count));
+}
+
 }  // namespace
 
-std::string EncodePeerTables(const std::vector<PeerTable>& tables) {
-  json message = json::array();
-  for (const PeerTable& table : tables) {
+std::string EncodePeerView(const PeerView& view) {
+  json tables = json::array();
+  for (const PeerTable& table : view.tables) {
     json rows = json::array();
-    for (const StoreRow& row : table.snapshot.rows) {
-      rows.push_back(json::array({row.key, row.value, row.version}));
+    for (const StoreRow& row : table.changes.rows) {
+      rows.push_back(
+          json::array({row.key, row.value, row.version, row.removed}));
     }
-    message.push_back(json::array({static_cast<int>(table.snapshot.table),
-                                   table.snapshot.as_of, table.age.count(),
-                                   std::move(rows)}));
+    tables.push_back(
+        json::array({static_cast<int>(table.changes.table), table.changes.as_of,
+                     table.changes.whole, table.age.count(), std::move(rows)}));
   }
+  json message =
+      json::array({view.source.reads_store, EncodeTime(view.source.store_time),
+                   std::move(tables)});
   std::vector<std::uint8_t> bytes = json::to_msgpack(message);
   return std::string(bytes.begin(), bytes.end());
 }
 
-std::vector<PeerTable> DecodePeerTables(const std::string& bytes) {
+PeerView DecodePeerView(const std::string& bytes) {
   try {
-    std::vector<PeerTable> tables;
-    for (const json& entry : json::from_msgpack(bytes)) {
+    json message = json::from_msgpack(bytes);
+    PeerView view;
+    view.source.reads_store = message.at(0).get<bool>();
+    view.source.store_time = DecodeTime(message.at(1));
+    for (const json& entry : message.at(2)) {
       PeerTable table;
       int number = entry.at(0).get<int>();
       if (number < 0 || number >= kStoreTableCount) {
         throw FindingsError({{"peer", "", 0, 0, "unknown table"}});
       }
-      table.snapshot.table = static_cast<StoreTable>(number);
-      table.snapshot.as_of = entry.at(1).get<std::int64_t>();
-      table.age = milliseconds(entry.at(2).get<std::int64_t>());
-      for (const json& row : entry.at(3)) {
-        table.snapshot.rows.push_back(
+      table.changes.table = static_cast<StoreTable>(number);
+      table.changes.as_of = entry.at(1).get<std::int64_t>();
+      table.changes.whole = entry.at(2).get<bool>();
+      table.age = milliseconds(entry.at(3).get<std::int64_t>());
+      for (const json& row : entry.at(4)) {
+        table.changes.rows.push_back(
             StoreRow{row.at(0).get<std::string>(), row.at(1).get<std::string>(),
-                     row.at(2).get<std::int64_t>(), false});
+                     row.at(2).get<std::int64_t>(), row.at(3).get<bool>()});
       }
-      tables.push_back(std::move(table));
+      view.tables.push_back(std::move(table));
     }
-    return tables;
+    return view;
   } catch (const json::exception& error) {
     throw FindingsError({{"peer", "", 0, 0, error.what()}});
   }
 }
 
 PeerService::PeerService(const FleetView& view,
+                         const PeerSourceProvider& source,
                          const Transport& transport,
                          GatewayMetrics* metrics)
-    : view_(view), transport_(transport), metrics_(metrics) {}
+    : view_(view), source_(source), transport_(transport), metrics_(metrics) {}
 
 void PeerService::OnRequest(ConnectionId caller,
                             HttpRequestHead head,
@@ -102,22 +122,18 @@
 
 std::string PeerService::View(const std::string& target) const {
   std::array<std::int64_t, kStoreTableCount> known = KnownVersions(target);
-  std::vector<PeerTable> tables;
+  PeerView view;
+  view.source = source_.Source();
   for (int i = 0; i < kStoreTableCount; ++i) {
     auto table = static_cast<StoreTable>(i);
-    if (view_.confirmed_at(table) == TimePoint()) {
-      continue;
-    }
-    PeerTable entry;
-    entry.snapshot = TableSnapshot{table, view_.as_of(table), {}};
-    if (view_.as_of(table) > known[static_cast<std::size_t>(i)]) {
-      entry.snapshot = view_.Snapshot(table);
+    if (view_.confirmed_at(table) != TimePoint()) {
+      view.tables.push_back(
+          {view_.ChangesSince(table, known[static_cast<std::size_t>(i)]),
+           duration_cast<milliseconds>(transport_.Now() -
+                                       view_.confirmed_at(table))});
     }
-    entry.age = duration_cast<milliseconds>(transport_.Now() -
-                                            view_.confirmed_at(table));
-    tables.push_back(std::move(entry));
   }
-  return EncodePeerTables(tables);
+  return EncodePeerView(view);
 }
 
 void PeerService::OnCallerGone(ConnectionId /*caller*/, ConnectionEnd /*end*/) {
@@ -129,9 +145,8 @@
 
 PeerReader::PeerReader(Transport* transport,
                        HttpClient* client,
-                       EventLog* log,
                        PeerReaderListener* listener)
-    : transport_(transport), client_(client), log_(log), listener_(listener) {}
+    : transport_(transport), client_(client), listener_(listener) {}
 
 void PeerReader::Read(const std::string& address) {
   address_ = address;
@@ -148,9 +163,7 @@
   call_ = client_->Start(address, SerializeRequestHead(head), kMaxIdle, this);
   timeout_ = transport_->After(kReadTimeout, [this] {
     client_->Cancel(call_);
-    call_ = CallId{};
-    log_->Write(EventId::kPeerViewFailed,
-                fmt::format("peer={} timeout", address_));
+    Fail("timeout");
   });
 }
 
@@ -165,27 +178,31 @@
 
 void PeerReader::OnComplete(CallId /*call*/) {
   transport_->Cancel(timeout_);
-  call_ = CallId{};
+  if (status_ != 200) {
+    Fail(fmt::format("status {}", status_));
+    return;
+  }
+  PeerView view;
   try {
-    if (status_ == 200) {
-      listener_->OnPeerTables(address_, DecodePeerTables(body_));
-      return;
-    }
-    log_->Write(EventId::kPeerViewFailed,
-                fmt::format("peer={} status={}", address_, status_));
+    view = DecodePeerView(body_);
   } catch (const FindingsError& error) {
-    log_->Write(EventId::kPeerViewFailed,
-                fmt::format("peer={} {}", address_, error.what()));
+    Fail(error.what());
+    return;
   }
+  call_ = CallId{};
+  listener_->OnPeerView(address_, view);
 }
 
 void PeerReader::OnFailed(CallId /*call*/,
                           CallFailure /*failure*/,
                           std::string_view detail) {
   transport_->Cancel(timeout_);
+  Fail(detail);
+}
+
+void PeerReader::Fail(std::string_view detail) {
   call_ = CallId{};
-  log_->Write(EventId::kPeerViewFailed,
-              fmt::format("peer={} {}", address_, detail));
+  listener_->OnPeerFailed(address_, detail);
 }
 
 }  // namespace filbertshift
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -1,11 +1,12 @@
-// Passes views between instances: one that cannot reach the store reads what
-// another one knows. Rows keep their store versions, so a view only grows.
+// Passes views between instances: most read what another one knows instead of
+// the store. Rows keep their store versions, so a view only grows.
 
 #ifndef SRC_GATEWAY_PEER_EXCHANGE_H_
 #define SRC_GATEWAY_PEER_EXCHANGE_H_
 
 #include <array>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,21 +18,43 @@
 
 namespace filbertshift {
 
-// What one instance knows of a table, and how long ago it was current.
+// What one instance has learned of a table since the version that the reader
+// knows, and how long ago it was current.
 struct PeerTable {
-  TableSnapshot snapshot;
+  TableChanges changes;
   std::chrono::milliseconds age{0};
 };
 
-// MessagePack. The rows are left out of tables that the reader has.
-std::string EncodePeerTables(const std::vector<PeerTable>& tables);
+// How an instance comes to know what it tells.
+struct PeerSource {
+  // It reads the store, and the store has answered it for a while.
+  bool reads_store = false;
+  // The store's steady clock; empty if it is not known.
+  std::optional<std::chrono::milliseconds> store_time;
+};
+
+struct PeerView {
+  PeerSource source;
+  // Without tables that were never read.
+  std::vector<PeerTable> tables;
+};
+
+// MessagePack.
+std::string EncodePeerView(const PeerView& view);
 // Throws FindingsError if the bytes are no such message.
-std::vector<PeerTable> DecodePeerTables(const std::string& bytes);
+PeerView DecodePeerView(const std::string& bytes);
+
+class PeerSourceProvider {
+ public:
+  virtual ~PeerSourceProvider() = default;
+  virtual PeerSource Source() const = 0;
+};
 
 // Serves the view, and the metrics beside it.
 class PeerService : public HttpRequestHandler {
  public:
   PeerService(const FleetView& view,
+              const PeerSourceProvider& source,
               const Transport& transport,
               GatewayMetrics* metrics);
   void SetServer(CallerServer* server) { server_ = server; }
@@ -46,6 +69,7 @@
   std::string View(const std::string& target) const;
 
   const FleetView& view_;
+  const PeerSourceProvider& source_;
   const Transport& transport_;
   GatewayMetrics* const metrics_;
   CallerServer* server_ = nullptr;
@@ -55,8 +79,10 @@
  public:
   virtual ~PeerReaderListener() = default;
   virtual std::int64_t KnownVersion(StoreTable table) const = 0;
-  virtual void OnPeerTables(const std::string& peer,
-                            const std::vector<PeerTable>& tables) = 0;
+  // `address` is the one that was read.
+  virtual void OnPeerView(const std::string& address, const PeerView& view) = 0;
+  virtual void OnPeerFailed(const std::string& address,
+                            std::string_view detail) = 0;
 };
 
 // Reads the view of one other instance at a time.
@@ -64,7 +90,6 @@
  public:
   PeerReader(Transport* transport,
              HttpClient* client,
-             EventLog* log,
              PeerReaderListener* listener);
   PeerReader(const PeerReader&) = delete;
   PeerReader& operator=(const PeerReader&) = delete;
@@ -81,9 +106,10 @@
                 std::string_view detail) override;
 
  private:
+  void Fail(std::string_view detail);
+
   Transport* const transport_;
   HttpClient* const client_;
-  EventLog* const log_;
   PeerReaderListener* const listener_;
   std::string address_;
   CallId call_{};
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -12,10 +12,6 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-// How long the store holds a call for changes. Shorter than the bound for
-// changes to be in force, since a feed that is silent looks like one without
-// news.
-constexpr milliseconds kChangesWait{1500};
 // Time for an answer beyond the wait.
 constexpr milliseconds kAnswerTimeout{700};
 // Pause after a failed call, doubled with each one in a row.
@@ -40,6 +36,7 @@
 
 StoreFollower::StoreFollower(StoreTable table,
                              milliseconds min_interval,
+                             milliseconds changes_wait,
                              std::string store_address,
                              Transport* transport,
                              HttpClient* client,
@@ -48,6 +45,7 @@
                              StoreFollowerListener* listener)
     : table_(table),
       min_interval_(min_interval),
+      changes_wait_(changes_wait),
       store_address_(std::move(store_address)),
       transport_(transport),
       client_(client),
@@ -69,7 +67,18 @@
   }
 }
 
+void StoreFollower::SetPaused(bool paused) {
+  paused_ = paused;
+  if (!paused && std::exchange(call_due_, false)) {
+    Call();
+  }
+}
+
 void StoreFollower::Call() {
+  if (paused_) {
+    call_due_ = true;
+    return;
+  }
   StoreRequest request;
   milliseconds timeout = kAnswerTimeout;
   if (listing_) {
@@ -80,8 +89,8 @@
         table_, pages_.rows.empty() ? std::string() : pages_.rows.back().key);
   } else {
     request = protocol_.ChangesRequest(table_, listener_->KnownVersion(table_),
-                                       kChangesWait);
-    timeout += kChangesWait;
+                                       changes_wait_);
+    timeout += changes_wait_;
   }
   status_ = 0;
   body_.clear();
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -31,9 +31,13 @@
 
 class StoreFollower : public CallListener {
  public:
-  // `min_interval`: least time between two calls for changes.
+  // `min_interval`: least time between two calls for changes. `changes_wait`:
+  // how long the store holds a call for changes; shorter than the bound for
+  // changes to be in force, since a feed that is silent looks like one without
+  // news.
   StoreFollower(StoreTable table,
                 std::chrono::milliseconds min_interval,
+                std::chrono::milliseconds changes_wait,
                 std::string store_address,
                 Transport* transport,
                 HttpClient* client,
@@ -45,6 +49,9 @@
   void Start();
   // A shorter interval also cuts short the wait in progress.
   void SetMinInterval(std::chrono::milliseconds interval);
+  void SetChangesWait(std::chrono::milliseconds wait) { changes_wait_ = wait; }
+  // While paused, no call is begun; the one in progress is taken.
+  void SetPaused(bool paused);
 
   HeadDecision OnHead(CallId call, const HttpResponseHead& head) override;
   void OnBody(CallId call, std::string_view data) override;
@@ -63,12 +70,16 @@
 
   const StoreTable table_;
   std::chrono::milliseconds min_interval_;
+  std::chrono::milliseconds changes_wait_;
   const std::string store_address_;
   Transport* const transport_;
   HttpClient* const client_;
   const StoreProtocol& protocol_;
   GatewayMetrics* const metrics_;
   StoreFollowerListener* const listener_;
+  bool paused_ = false;
+  // A call was due while paused.
+  bool call_due_ = false;
   // The whole table has to be read.
   bool listing_ = true;
   // Pages read so far while listing_.
--- /dev/null
+++ b/src/gateway/view_source.cc
@@ -0,0 +1,280 @@
+#include "src/gateway/view_source.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertshift {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Time between two readings of another instance's view.
+constexpr milliseconds kReadInterval{300};
+// A table that was confirmed longer ago than this is asked of any instance.
+constexpr milliseconds kPeerReadAge{2300};
+// Parts of the bound for a configuration: how long the store holds a call for
+// changes, the same at an instance that others read, and the age at which what
+// operators ordered is not taken from another instance any more.
+constexpr double kWaitPart = 0.75;
+constexpr double kReaderWaitPart = 0.25;
+constexpr double kMaxOperatorAgePart = 0.45;
+// Least time between two readings of changes of endpoints by an instance that
+// others read, if its own interval is longer.
+constexpr milliseconds kReaderEndpointInterval{500};
+// Ages at which other tables are not taken any more, beyond the interval in
+// which they are read and the time that the store holds a call.
+constexpr milliseconds kMaxLateness{300};
+// Other instances do not rely on this one for so long after the store did not
+// answer: records may have lapsed meanwhile.
+constexpr milliseconds kTroubleTime{2500};
+
+}  // namespace
+
+ViewSource::ViewSource(const GatewaySettings& settings,
+                       const StoreProtocol& protocol,
+                       Transport* transport,
+                       HttpClient* store_client,
+                       HttpClient* peer_client,
+                       FleetView* view,
+                       EventLog* log,
+                       GatewayMetrics* metrics)
+    : settings_(settings),
+      transport_(transport),
+      store_client_(store_client),
+      view_(view),
+      log_(log),
+      peer_reader_(transport, peer_client, this),
+      relay_(settings.instance) {
+  const std::pair<StoreTable, milliseconds> tables[] = {
+      {StoreTable::kOperator, settings.operator_poll_interval},
+      {StoreTable::kEndpoints, settings.endpoint_poll_interval},
+      {StoreTable::kInstances, settings.instance_poll_interval}};
+  for (const auto& [table, interval] : tables) {
+    followers_.push_back(std::make_unique<StoreFollower>(
+        table, interval, PartOfApplyTime(settings, kWaitPart),
+        settings.store_address, transport, store_client, protocol, metrics,
+        this));
+  }
+}
+
+void ViewSource::Start() {
+  for (const std::unique_ptr<StoreFollower>& follower : followers_) {
+    follower->Start();
+  }
+}
+
+void ViewSource::Step(const std::vector<LiveInstance>& live, bool rollout) {
+  TimePoint now = transport_->Now();
+  relay_.SetInstances(live);
+  SetReader(view_->complete() ? relay_.Current(now) : std::nullopt);
+  SetPace(rollout);
+  ReadPeer();
+}
+
+void ViewSource::SetReader(std::optional<LiveInstance> reader) {
+  bool had = reader_.has_value();
+  bool same = had == reader.has_value() &&
+              (!had || reader_->instance == reader->instance);
+  reader_ = std::move(reader);
+  if (same) {
+    return;
+  }
+  log_->Write(
+      EventId::kViewSourceChanged,
+      fmt::format("source={}",
+                  reader_.has_value() ? reader_->instance.value() : "store"));
+  if (!reader_.has_value()) {
+    // Connections that were idle meanwhile may have gone silent.
+    store_client_->CloseIdle(settings_.store_address);
+  }
+  for (const std::unique_ptr<StoreFollower>& follower : followers_) {
+    follower->SetPaused(reader_.has_value());
+  }
+}
+
+// Evidence and kept sessions travel in member rows, so that these are read more
+// often during a rollout.
+void ViewSource::SetPace(bool rollout) {
+  followers_[static_cast<std::size_t>(StoreTable::kInstances)]->SetMinInterval(
+      rollout ? settings_.rollout_instance_poll_interval
+              : settings_.instance_poll_interval);
+  followers_[static_cast<std::size_t>(StoreTable::kEndpoints)]->SetMinInterval(
+      relay_.IsReader() ? ReaderEndpointInterval()
+                        : settings_.endpoint_poll_interval);
+  milliseconds wait = PartOfApplyTime(
+      settings_, relay_.IsReader() ? kReaderWaitPart : kWaitPart);
+  for (const std::unique_ptr<StoreFollower>& follower : followers_) {
+    follower->SetChangesWait(wait);
+  }
+}
+
+milliseconds ViewSource::ReaderEndpointInterval() const {
+  return std::min(kReaderEndpointInterval, settings_.endpoint_poll_interval);
+}
+
+bool ViewSource::IsStale() const {
+  for (int i = 0; i < kStoreTableCount; ++i) {
+    if (transport_->Now() - view_->confirmed_at(static_cast<StoreTable>(i)) >
+        kPeerReadAge) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void ViewSource::ReadPeer() {
+  TimePoint now = transport_->Now();
+  if (peer_reader_.busy()) {
+    return;
+  }
+  if (reader_.has_value()) {
+    if (now >= next_read_) {
+      next_read_ = now + kReadInterval;
+      peer_reader_.Read(reader_->peer_address);
+    }
+    return;
+  }
+  if (IsStale()) {
+    std::vector<std::string> addresses = PeerAddresses();
+    if (!addresses.empty()) {
+      peer_reader_.Read(addresses[next_peer_++ % addresses.size()]);
+    }
+  }
+}
+
+std::vector<std::string> ViewSource::PeerAddresses() const {
+  std::vector<std::string> addresses;
+  for (const auto& [instance, member] : view_->members()) {
+    if (instance != settings_.instance) {
+      addresses.push_back(member.state.peer_address);
+    }
+  }
+  for (const std::string& seed : settings_.seed_peers) {
+    if (seed != settings_.peer_listen &&
+        std::find(addresses.begin(), addresses.end(), seed) ==
+            addresses.end()) {
+      addresses.push_back(seed);
+    }
+  }
+  return addresses;
+}
+
+std::optional<milliseconds> ViewSource::StoreTime() const {
+  if (!store_clock_offset_.has_value()) {
+    return std::nullopt;
+  }
+  return duration_cast<milliseconds>(transport_->Now().time_since_epoch()) +
+         *store_clock_offset_;
+}
+
+PeerSource ViewSource::Source() const {
+  PeerSource source;
+  source.store_time = StoreTime();
+  bool trouble = trouble_at_.has_value() &&
+                 transport_->Now() - *trouble_at_ < kTroubleTime;
+  source.reads_store = !reader_.has_value() && store_reachable_ && !trouble;
+  return source;
+}
+
+std::int64_t ViewSource::KnownVersion(StoreTable table) const {
+  return view_->as_of(table);
+}
+
+void ViewSource::OnTable(const TableSnapshot& snapshot) {
+  view_->ReplaceTable(snapshot, RowSource::kStore, transport_->Now());
+}
+
+void ViewSource::OnChanges(StoreTable table, const RowsAnswer& answer) {
+  view_->ApplyChanges(table, answer.rows, answer.as_of, RowSource::kStore,
+                      transport_->Now());
+}
+
+void ViewSource::OnStoreTime(milliseconds store_time) {
+  if (!store_reachable_) {
+    store_reachable_ = true;
+    log_->Write(EventId::kStoreReachable, std::string());
+  }
+  store_clock_offset_ = store_time - duration_cast<milliseconds>(
+                                         transport_->Now().time_since_epoch());
+}
+
+void ViewSource::OnStoreTrouble(StoreTable table, std::string_view detail) {
+  trouble_at_ = transport_->Now();
+  if (store_reachable_) {
+    store_reachable_ = false;
+    log_->Write(EventId::kStoreUnreachable,
+                fmt::format("table={} {}", StoreTableName(table), detail));
+  }
+  view_->OnStoreTrouble(*trouble_at_);
+}
+
+std::string ViewSource::FaultOf(const PeerView& view) const {
+  if (!view.source.reads_store) {
+    return "it does not read the store";
+  }
+  if (view.tables.size() != static_cast<std::size_t>(kStoreTableCount)) {
+    return "it does not know all tables";
+  }
+  milliseconds wait = PartOfApplyTime(settings_, kReaderWaitPart);
+  const milliseconds limits[kStoreTableCount] = {
+      PartOfApplyTime(settings_, kMaxOperatorAgePart),
+      ReaderEndpointInterval() + wait + kMaxLateness,
+      settings_.instance_poll_interval + wait + kMaxLateness};
+  for (const PeerTable& entry : view.tables) {
+    StoreTable table = entry.changes.table;
+    if (entry.age > limits[static_cast<int>(table)]) {
+      return fmt::format("table={} age_ms={}", StoreTableName(table),
+                         entry.age.count());
+    }
+  }
+  return std::string();
+}
+
+void ViewSource::LeaveReader(std::string_view reason) {
+  log_->Write(EventId::kPeerViewFailed,
+              fmt::format("peer={} {}", reader_->peer_address, reason));
+  relay_.OnUnfit(reader_->instance, transport_->Now());
+  SetReader(std::nullopt);
+}
+
+void ViewSource::OnPeerView(const std::string& address, const PeerView& view) {
+  TimePoint now = transport_->Now();
+  bool relayed = reader_.has_value() && reader_->peer_address == address;
+  if (relayed) {
+    std::string fault = FaultOf(view);
+    if (!fault.empty()) {
+      // Records may have lapsed for the reader only; the store tells.
+      LeaveReader(fault);
+      return;
+    }
+    if (view.source.store_time.has_value()) {
+      OnStoreTime(*view.source.store_time);
+    }
+  }
+  for (const PeerTable& table : view.tables) {
+    std::int64_t known = view_->as_of(table.changes.table);
+    bool newer = view_->TakeFromPeer(table.changes, now - table.age);
+    if (newer && !relayed) {
+      log_->Write(EventId::kPeerViewTaken,
+                  fmt::format("peer={} table={} from={} to={} age_ms={}",
+                              address, StoreTableName(table.changes.table),
+                              known, table.changes.as_of, table.age.count()));
+    }
+  }
+}
+
+void ViewSource::OnPeerFailed(const std::string& address,
+                              std::string_view detail) {
+  if (reader_.has_value() && reader_->peer_address == address) {
+    LeaveReader(detail);
+    return;
+  }
+  log_->Write(EventId::kPeerViewFailed,
+              fmt::format("peer={} {}", address, detail));
+}
+
+}  // namespace filbertshift
--- /dev/null
+++ b/src/gateway/view_source.h
@@ -0,0 +1,83 @@
+// Keeps the view current: from the store, or from an instance that reads the
+// store, or, while the store does not answer, from any instance.
+
+#ifndef SRC_GATEWAY_VIEW_SOURCE_H_
+#define SRC_GATEWAY_VIEW_SOURCE_H_
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/gateway/gateway_settings.h"
+#include "src/gateway/peer_exchange.h"
+#include "src/gateway/store_follower.h"
+
+namespace filbertshift {
+
+class ViewSource : public StoreFollowerListener,
+                   public PeerReaderListener,
+                   public PeerSourceProvider {
+ public:
+  ViewSource(const GatewaySettings& settings,
+             const StoreProtocol& protocol,
+             Transport* transport,
+             HttpClient* store_client,
+             HttpClient* peer_client,
+             FleetView* view,
+             EventLog* log,
+             GatewayMetrics* metrics);
+
+  void Start();
+  // Chooses the source and reads it if it is time. `live`: all live instances.
+  // `rollout`: member rows are read more often.
+  void Step(const std::vector<LiveInstance>& live, bool rollout);
+  // The store's steady clock; empty if it is not known yet.
+  std::optional<std::chrono::milliseconds> StoreTime() const;
+
+  PeerSource Source() const override;
+
+  // StoreFollowerListener and PeerReaderListener:
+  std::int64_t KnownVersion(StoreTable table) const override;
+  void OnTable(const TableSnapshot& snapshot) override;
+  void OnChanges(StoreTable table, const RowsAnswer& answer) override;
+  void OnStoreTime(std::chrono::milliseconds store_time) override;
+  void OnStoreTrouble(StoreTable table, std::string_view detail) override;
+  void OnPeerView(const std::string& address, const PeerView& view) override;
+  void OnPeerFailed(const std::string& address,
+                    std::string_view detail) override;
+
+ private:
+  void SetReader(std::optional<LiveInstance> reader);
+  void SetPace(bool rollout);
+  std::chrono::milliseconds ReaderEndpointInterval() const;
+  void ReadPeer();
+  bool IsStale() const;
+  // Empty if others may rely on the view; otherwise why not.
+  std::string FaultOf(const PeerView& view) const;
+  void LeaveReader(std::string_view reason);
+  std::vector<std::string> PeerAddresses() const;
+
+  const GatewaySettings settings_;
+  Transport* const transport_;
+  HttpClient* const store_client_;
+  FleetView* const view_;
+  EventLog* const log_;
+  PeerReader peer_reader_;
+  // In the order of StoreTable.
+  std::vector<std::unique_ptr<StoreFollower>> followers_;
+  RelayChoice relay_;
+  // The instance whose view is read instead of the store.
+  std::optional<LiveInstance> reader_;
+  TimePoint next_read_{};
+  std::size_t next_peer_ = 0;
+  // Store clock minus local clock.
+  std::optional<std::chrono::milliseconds> store_clock_offset_;
+  bool store_reachable_ = true;
+  std::optional<TimePoint> trouble_at_;
+};
+
+}  // namespace filbertshift
+
+#endif  // SRC_GATEWAY_VIEW_SOURCE_H_
--- a/tests/unit/fleet/fleet_view_test.cc
+++ b/tests/unit/fleet/fleet_view_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
+
 #include "platform/platform.h"
 #include "src/fleet/fleet.h"
 
@@ -152,5 +154,105 @@
   CHECK_FALSE(f.view.IsEvacuated(DataCentreId("a")));
 }
 
+// Guards against passing each heartbeat of each endpoint on, and against a
+// removal that another instance never hears of.
+TEST_CASE("another instance is told what has changed", "[fleet]") {
+  Fixture f;
+  f.view.ReplaceTable({StoreTable::kEndpoints,
+                       10,
+                       {{"e1", Endpoint("ready"), 3, false},
+                        {"e2", Endpoint("ready"), 4, false}}},
+                      RowSource::kStore, f.now);
+  f.Put(StoreTable::kEndpoints, "e1", Endpoint("ready"), 11);
+  TableChanges changes = f.view.ChangesSince(StoreTable::kEndpoints, 10);
+  CHECK_FALSE(changes.whole);
+  CHECK(changes.as_of == 11);
+  CHECK(changes.rows.empty());
+  f.Put(StoreTable::kEndpoints, "e1", Endpoint("draining"), 12);
+  f.Put(StoreTable::kEndpoints, "e2", "", 13);
+  changes = f.view.ChangesSince(StoreTable::kEndpoints, 11);
+  REQUIRE(changes.rows.size() == 2);
+  CHECK(f.view.ChangesSince(StoreTable::kEndpoints, 12).rows.size() == 1);
+  // An instance from before the table was first read here gets all of it.
+  CHECK(f.view.ChangesSince(StoreTable::kEndpoints, 9).whole);
+
+  Fixture other;
+  other.Put(StoreTable::kEndpoints, "e1", Endpoint("ready"), 3);
+  other.Put(StoreTable::kEndpoints, "e2", Endpoint("ready"), 11);
+  CHECK(other.view.TakeFromPeer(changes, other.now));
+  CHECK(other.view.as_of(StoreTable::kEndpoints) == 13);
+  CHECK(other.view.endpoints().count(EndpointId("e2")) == 0);
+  CHECK(other.view.endpoints().at(EndpointId("e1")).state ==
+        EndpointState::kDraining);
+  CHECK_FALSE(other.view.TakeFromPeer(changes, other.now));
+}
+
+// Guards against an endpoint that lapsed, came back, and stays lost to the
+// instances that read this one's view.
+TEST_CASE("a record that comes back is told again", "[fleet]") {
+  Fixture f;
+  f.Put(StoreTable::kEndpoints, "e1", Endpoint("ready"), 1);
+  f.view.OnStoreTrouble(f.now);
+  f.Put(StoreTable::kEndpoints, "e1", "", 2);
+  CHECK(f.view.endpoints().size() == 1);
+  f.Put(StoreTable::kEndpoints, "e1", Endpoint("ready"), 3);
+  TableChanges changes = f.view.ChangesSince(StoreTable::kEndpoints, 2);
+  REQUIRE(changes.rows.size() == 1);
+  CHECK_FALSE(changes.rows.front().removed);
+}
+
+// Two instances, one of which reads the store and the other one the first, with
+// calls of random length in between; heartbeats, changes, removals, and history
+// that the store has lost.
+TEST_CASE("an instance behind another one ends with the same endpoints",
+          "[fleet]") {
+  for (unsigned seed = 1; seed <= 200; ++seed) {
+    INFO("seed " << seed);
+    std::mt19937 random(seed);
+    Fixture reader;
+    Fixture behind;
+    std::map<std::string, StoreRow> store;
+    std::vector<StoreRow> unread;
+    std::int64_t version = 0;
+    reader.view.ReplaceTable({StoreTable::kEndpoints, 0, {}}, RowSource::kStore,
+                             reader.now);
+    for (int step = 0; step < 300; ++step) {
+      std::string key = "e" + std::to_string(random() % 6);
+      StoreRow row{key, Endpoint(random() % 4 == 0 ? "draining" : "ready"),
+                   ++version, random() % 5 == 0};
+      if (row.removed) {
+        store.erase(key);
+      } else {
+        store[key] = row;
+      }
+      unread.push_back(row);
+      if (random() % 3 == 0) {
+        reader.view.ApplyChanges(StoreTable::kEndpoints, unread, version,
+                                 RowSource::kStore, reader.now);
+        unread.clear();
+      } else if (random() % 20 == 0) {
+        TableSnapshot listed{StoreTable::kEndpoints, version, {}};
+        for (const auto& entry : store) {
+          listed.rows.push_back(entry.second);
+        }
+        reader.view.ReplaceTable(listed, RowSource::kStore, reader.now);
+        unread.clear();
+      }
+      if (random() % 4 == 0) {
+        behind.view.TakeFromPeer(
+            reader.view.ChangesSince(StoreTable::kEndpoints,
+                                     behind.view.as_of(StoreTable::kEndpoints)),
+            behind.now);
+        REQUIRE(behind.view.endpoints().size() ==
+                reader.view.endpoints().size());
+        for (const auto& [endpoint, record] : reader.view.endpoints()) {
+          REQUIRE(behind.view.endpoints().count(endpoint) == 1);
+          REQUIRE(behind.view.endpoints().at(endpoint).state == record.state);
+        }
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace filbertshift
--- /dev/null
+++ b/tests/unit/fleet/relay_choice_test.cc
@@ -0,0 +1,81 @@
+// Which instances read the store, and what the others do when one fails.
+
+#include <catch2/catch.hpp>
+
+#include <fmt/format.h>
+
+#include <set>
+
+#include "src/fleet/fleet.h"
+
+namespace filbertshift {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::vector<LiveInstance> Instances(int count) {
+  std::vector<LiveInstance> live;
+  for (int i = 0; i < count; ++i) {
+    live.push_back({InstanceId(fmt::format("i{}", i)), fmt::format("p{}", i)});
+  }
+  return live;
+}
+
+// Guards against calls to the store that grow with each instance, and against
+// instances that wait for each other to read it.
+TEST_CASE("a few instances read the store for all", "[fleet]") {
+  TimePoint now{std::chrono::hours(1)};
+  for (int count : {1, 2, 4, 26, 340}) {
+    INFO(count);
+    std::vector<LiveInstance> live = Instances(count);
+    std::set<std::string> readers;
+    std::set<std::string> read;
+    for (const LiveInstance& entry : live) {
+      RelayChoice choice(entry.instance);
+      choice.SetInstances(live);
+      if (choice.IsReader()) {
+        readers.insert(entry.peer_address);
+        CHECK_FALSE(choice.Current(now).has_value());
+      } else {
+        REQUIRE(choice.Current(now).has_value());
+        read.insert(choice.Current(now)->peer_address);
+      }
+    }
+    CHECK(readers.size() == static_cast<std::size_t>((count + 15) / 16));
+    CHECK(std::includes(readers.begin(), readers.end(), read.begin(),
+                        read.end()));
+  }
+}
+
+// Guards against an instance that stays with a reader that is gone.
+TEST_CASE("the store is read after a reader has failed", "[fleet]") {
+  TimePoint now{std::chrono::hours(1)};
+  std::vector<LiveInstance> live = Instances(4);
+  for (const LiveInstance& entry : live) {
+    RelayChoice choice(entry.instance);
+    choice.SetInstances(live);
+    std::optional<LiveInstance> reader = choice.Current(now);
+    if (!reader.has_value()) {
+      continue;
+    }
+    choice.OnUnfit(reader->instance, now);
+    CHECK_FALSE(choice.Current(now).has_value());
+    CHECK_FALSE(choice.Current(now + milliseconds(11900)).has_value());
+    CHECK(choice.Current(now + milliseconds(12000))->instance ==
+          reader->instance);
+    // Another one takes its place.
+    std::vector<LiveInstance> rest;
+    for (const LiveInstance& other : live) {
+      if (other.instance != reader->instance) {
+        rest.push_back(other);
+      }
+    }
+    choice.SetInstances(rest);
+    CHECK_FALSE(choice.Current(now + milliseconds(2900)).has_value());
+    CHECK((choice.IsReader() ||
+           choice.Current(now + milliseconds(3000)).has_value()));
+  }
+}
+
+}  // namespace
+}  // namespace filbertshift
--- a/tests/unit/gateway/stand_ins.cc
+++ b/tests/unit/gateway/stand_ins.cc
@@ -61,13 +61,26 @@
 void StandInStore::Put(const std::string& table,
                        const std::string& key,
                        const std::string& value) {
-  tables_[table][key] = Row{value, ++version_};
+  tables_[table][key] = Row{value, ++version_, false};
   AnswerWaiting();
 }
 
+void StandInStore::Remove(const std::string& table, const std::string& key) {
+  tables_[table][key] = Row{std::string(), ++version_, true};
+  AnswerWaiting();
+}
+
+void StandInStore::ForgetHistory() {
+  history_from_ = ++version_;
+}
+
 bool StandInStore::Has(const std::string& table, const std::string& key) const {
   auto found = tables_.find(table);
-  return found != tables_.end() && found->second.count(key) > 0;
+  if (found == tables_.end()) {
+    return false;
+  }
+  auto row = found->second.find(key);
+  return row != found->second.end() && !row->second.removed;
 }
 
 std::string StandInStore::Value(const std::string& table,
@@ -89,12 +102,18 @@
   auto found = tables_.find(table);
   if (found != tables_.end()) {
     for (const auto& [key, row] : found->second) {
-      if (row.version > after) {
-        rows.push_back({{"table", table},
-                        {"part", ""},
-                        {"key", key},
-                        {"value", ToBase64(row.value)},
-                        {"row_version", row.version}});
+      // A list, which begins at no version, has no removed rows.
+      if (row.version <= after || (row.removed && after == 0)) {
+        continue;
+      }
+      rows.push_back({{"table", table},
+                      {"part", ""},
+                      {"key", key},
+                      {"row_version", row.version}});
+      if (row.removed) {
+        rows.back()["deleted"] = true;
+      } else {
+        rows.back()["value"] = ToBase64(row.value);
       }
     }
   }
@@ -118,6 +137,10 @@
   } else {
     Waiting waiting{caller, Parameter(head.target, "table"),
                     Number(Parameter(head.target, "after"))};
+    if (waiting.after < history_from_) {
+      Reply(caller, 410, "{}");
+      return;
+    }
     if (AnswerChanges(waiting, false)) {
       return;
     }
@@ -159,7 +182,8 @@
   for (const json& expected : message.at("expect")) {
     std::map<std::string, Row>& table = tables_[expected.at("table")];
     auto found = table.find(expected.at("key").get<std::string>());
-    std::int64_t version = found == table.end() ? 0 : found->second.version;
+    bool there = found != table.end() && !found->second.removed;
+    std::int64_t version = there ? found->second.version : 0;
     if (version != expected.at("row_version").get<std::int64_t>()) {
       Reply(caller, 412, "{\"rows\":[]}");
       return;
@@ -168,7 +192,7 @@
   ++version_;
   for (const json& row : message.at("put")) {
     tables_[row.at("table")][row.at("key")] =
-        Row{FromBase64(row.at("value")), version_};
+        Row{FromBase64(row.at("value")), version_, false};
   }
   Reply(caller, 200,
         fmt::format("{{\"row_version\":{},\"now_ms\":0}}", version_));
--- a/tests/unit/gateway/stand_ins.h
+++ b/tests/unit/gateway/stand_ins.h
@@ -22,6 +22,9 @@
   void Put(const std::string& table,
            const std::string& key,
            const std::string& value);
+  void Remove(const std::string& table, const std::string& key);
+  // Calls for changes after an older version than the newest one get 410 once.
+  void ForgetHistory();
   // Every call gets 503 while true.
   void SetBusy(bool busy) { busy_ = busy; }
   bool Has(const std::string& table, const std::string& key) const;
@@ -37,6 +40,7 @@
   struct Row {
     std::string value;
     std::int64_t version = 0;
+    bool removed = false;
   };
   struct Waiting {
     ConnectionId caller;
@@ -55,6 +59,8 @@
   std::map<std::string, std::map<std::string, Row>> tables_;
   std::vector<Waiting> waiting_;
   std::int64_t version_ = 0;
+  // Changes before this version are not known any more.
+  std::int64_t history_from_ = 0;
   bool busy_ = false;
 };
 
--- /dev/null
+++ b/tests/unit/gateway/view_source_test.cc
@@ -0,0 +1,223 @@
+// Where the view comes from: the store, an instance that reads it, or, when
+// either fails, the other one.
+
+#include <catch2/catch.hpp>
+
+#include <fmt/format.h>
+
+#include "platform/platform.h"
+#include "src/gateway/gateway.h"
+#include "tests/unit/gateway/forwarder_fixture.h"
+#include "tests/unit/support/fake_transport.h"
+
+namespace filbertshift {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kStore[] = "10.0.0.1:1";
+
+class NullListener : public FleetViewListener {
+ public:
+  void OnConfiguration(const FleetConfiguration&) override {}
+  void OnEndpoint(const RoutedEndpoint&) override {}
+  void OnEndpointRemoved(const EndpointId&) override {}
+};
+
+std::string Answer(const std::string& body) {
+  return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
+                     body.size(), body);
+}
+
+// One instance whose store and peers are played by the test.
+struct Fixture {
+  Fixture()
+      : store_client(&transport, milliseconds(300)),
+        peer_client(&transport, milliseconds(300)),
+        protocol(kStore),
+        view(documents, &log, &listener),
+        settings(Settings()),
+        source(settings,
+               protocol,
+               &transport,
+               &store_client,
+               &peer_client,
+               &view,
+               &log,
+               &metrics) {
+    RelayChoice choice(settings.instance);
+    for (int i = 0; reader.peer_address.empty(); ++i) {
+      live = {{settings.instance, "10.0.0.2:1"},
+              {InstanceId(fmt::format("peer{}", i)), "10.0.0.3:1"}};
+      choice.SetInstances(live);
+      reader = choice.Current(transport.Now()).value_or(LiveInstance());
+    }
+    source.Start();
+    Step(20);
+    AnswerStore(5);
+  }
+
+  static GatewaySettings Settings() {
+    GatewaySettings settings;
+    settings.instance = InstanceId("self");
+    settings.store_address = kStore;
+    settings.peer_listen = "10.0.0.2:1";
+    return settings;
+  }
+
+  // Steps every 100 ms, as the gateway does.
+  void Step(int milliseconds_in_all) {
+    for (int t = 0; t < milliseconds_in_all; t += 10) {
+      if (t % 100 == 0) {
+        source.Step(live, false);
+      }
+      transport.Advance(milliseconds(10));
+    }
+  }
+
+  // Calls to the store since the last time, each answered without rows.
+  int AnswerStore(std::int64_t version) {
+    int calls = 0;
+    for (ConnectionId connection : transport.OpenTo(kStore)) {
+      if (!transport.TakeSent(connection).empty()) {
+        ++calls;
+        transport.Receive(
+            connection,
+            Answer(fmt::format(R"({{"rows":[],"row_version":{},"now_ms":1}})",
+                               version)));
+      }
+    }
+    return calls;
+  }
+
+  // Answers the reading of the peer's view; false if there is none.
+  bool AnswerPeer(const PeerView& answer) {
+    for (ConnectionId connection : transport.OpenTo(reader.peer_address)) {
+      if (!transport.TakeSent(connection).empty()) {
+        transport.Receive(connection, Answer(EncodePeerView(answer)));
+        return true;
+      }
+    }
+    return false;
+  }
+
+  static PeerView Current(std::int64_t version) {
+    PeerView view;
+    view.source.reads_store = true;
+    view.source.store_time = milliseconds(1000);
+    for (int i = 0; i < kStoreTableCount; ++i) {
+      view.tables.push_back({{static_cast<StoreTable>(i), version, false, {}},
+                             milliseconds(200)});
+    }
+    return view;
+  }
+
+  // Takes the instance to where it reads the peer instead of the store.
+  void Relay() {
+    for (int i = 0; i < 30; ++i) {
+      Step(100);
+      AnswerStore(5);
+      AnswerPeer(Current(5));
+    }
+    REQUIRE(AnswerStore(5) == 0);
+  }
+
+  FakeTransport transport;
+  HttpClient store_client;
+  HttpClient peer_client;
+  RowProtocol protocol;
+  DocumentDecoder documents;
+  NullEventLog log;
+  NullListener listener;
+  GatewayMetrics metrics;
+  FleetView view;
+  GatewaySettings settings;
+  LiveInstance reader;
+  std::vector<LiveInstance> live;
+  ViewSource source;
+};
+
+// Guards against an instance that calls the store though another one reads it.
+TEST_CASE("the view of an instance that reads the store is enough",
+          "[gateway]") {
+  Fixture f;
+  f.Relay();
+  CHECK_FALSE(f.source.Source().reads_store);
+  PeerView changed = Fixture::Current(9);
+  changed.tables[0].changes.rows = {{"evacuate/z", "{}", 9, false}};
+  int store_calls = 0;
+  for (int i = 0; i < 100; ++i) {
+    f.Step(100);
+    store_calls += f.AnswerStore(5);
+    f.AnswerPeer(changed);
+  }
+  CHECK(store_calls == 0);
+  CHECK(f.view.IsEvacuated(DataCentreId("z")));
+  CHECK(f.view.as_of(StoreTable::kOperator) == 9);
+  CHECK(f.transport.Now() - f.view.confirmed_at(StoreTable::kOperator) <
+        milliseconds(700));
+}
+
+// The bound for a configuration is 2 s; an instance has to notice in time that
+// the one it relies on no longer follows the store.
+TEST_CASE("the store is read when the reader fails", "[gateway]") {
+  Fixture f;
+  f.Relay();
+  SECTION("it does not answer") {}
+  SECTION("its connection ends") {
+    for (ConnectionId connection : f.transport.OpenTo(f.reader.peer_address)) {
+      f.transport.End(connection, ConnectionEnd::kReset);
+    }
+    f.transport.SetDown(f.reader.peer_address);
+  }
+  SECTION("it does not read the store itself") {
+    PeerView unfit = Fixture::Current(5);
+    unfit.source.reads_store = false;
+    f.Step(300);
+    CHECK(f.AnswerPeer(unfit));
+  }
+  SECTION("what it knows is old") {
+    PeerView unfit = Fixture::Current(5);
+    unfit.tables[0].age = milliseconds(1000);
+    f.Step(300);
+    CHECK(f.AnswerPeer(unfit));
+  }
+  SECTION("it does not know all tables") {
+    PeerView unfit = Fixture::Current(5);
+    unfit.tables.pop_back();
+    f.Step(300);
+    CHECK(f.AnswerPeer(unfit));
+  }
+  f.Step(800);
+  CHECK(f.AnswerStore(6) == kStoreTableCount);
+  CHECK(f.view.as_of(StoreTable::kOperator) == 6);
+}
+
+// Guards against keeping a record that the store no longer has because the
+// reader had trouble with the store, and against losing one that lapsed for the
+// reader only.
+TEST_CASE("trouble of the reader is not taken over", "[gateway]") {
+  Fixture f;
+  f.Relay();
+  PeerView with_endpoint = Fixture::Current(7);
+  with_endpoint.tables[1].changes.rows = {
+      {"e1",
+       R"({"service":"s","address":"1.2.3.4:5","zone":"a","version":"v1",)"
+       R"("slots":4,"cold_remaining_ms":0,"sequence":1,"state":"ready"})",
+       7, false}};
+  f.Step(300);
+  REQUIRE(f.AnswerPeer(with_endpoint));
+  REQUIRE(f.view.endpoints().size() == 1);
+  PeerView trouble = Fixture::Current(8);
+  trouble.source.reads_store = false;
+  trouble.tables[1].changes.rows = {{"e1", "", 8, true}};
+  f.Step(300);
+  REQUIRE(f.AnswerPeer(trouble));
+  CHECK(f.view.endpoints().size() == 1);
+  f.view.ReplaceTable({StoreTable::kEndpoints, 9, {}}, RowSource::kStore,
+                      f.transport.Now());
+  CHECK(f.view.endpoints().empty());
+}
+
+}  // namespace
+}  // namespace filbertshift
