Give signs of life a class of their own

The bound on usual intervals of a single endpoint had no effect, as its least and greatest limits were the same, and is gone.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -5,8 +5,10 @@
 #ifndef SRC_DISPATCH_DISPATCH_H_
 #define SRC_DISPATCH_DISPATCH_H_
 
+#include "src/dispatch/endpoint_activity.h"
 #include "src/dispatch/endpoint_pool.h"
 #include "src/dispatch/model_choice.h"
+#include "src/dispatch/moving_average.h"
 #include "src/dispatch/repeat_budget.h"
 #include "src/dispatch/sliding_counter.h"
 #include "src/dispatch/version_policy.h"
--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -26,9 +26,8 @@
 // An endpoint whose failure share is this far over the typical one is avoided.
 constexpr double kFailureShareExcess = 0.3;
 constexpr milliseconds kAvoidAfterFailures{1500};
-// Weight of the latest value in the moving averages.
+// Weight of the latest answer in the failure share.
 constexpr double kFailureWeight = 0.15;
-constexpr double kTimeWeight = 0.15;
 // Load that a running request stands for, in prompt tokens.
 constexpr double kRunningTokens = 250;
 // Part of a shared prompt that the first endpoints in the order of rendezvous
@@ -38,33 +37,15 @@
 constexpr double kFarTokens = 30;
 constexpr double kFarRequests = 0.15;
 
-// Weight of the latest interval in the moving average.
-constexpr double kIntervalWeight = 0.05;
-// An endpoint is silent after this many of its usual intervals, but not before
-// the lesser and not after the greater part of the allowed pause, in percent.
-constexpr double kSilentIntervals = 10;
-constexpr int kLeastSilencePercent = 90;
-constexpr int kMostSilencePercent = 90;
-// The same for all endpoints of a data centre together, given enough answers in
-// progress: their pauses do not coincide.
-constexpr double kSilentDataCentreIntervals = 25;
-constexpr milliseconds kLeastDataCentreSilence{300};
-constexpr int kMinRunningOfDataCentre = 4;
-// A data centre to which this many connections in a row were not made, and from
-// which nothing came for the time, gets one request for each interval.
-constexpr int kUnreachableConnections = 3;
-constexpr milliseconds kUnreachableTime{400};
-constexpr milliseconds kProbeInterval{500};
+// An endpoint whose answers are in progress is silent after this part of the
+// allowed pause, in percent.
+constexpr int kSilencePercent = 90;
 
 std::uint64_t Combine(std::uint64_t a, std::uint64_t b) {
   std::uint64_t values[] = {a, b};
   return XXH64(values, sizeof(values), 0);
 }
 
-void Average(double* average, double value, double weight) {
-  *average = *average == 0 ? value : *average + weight * (value - *average);
-}
-
 }  // namespace
 
 std::string_view AttemptResultName(AttemptResult result) {
@@ -125,7 +106,8 @@
   auto found = entries_.find(endpoint);
   if (found != entries_.end()) {
     const Entry& entry = found->second;
-    data_centres_[entry.record.data_centre].running -= entry.activity.running;
+    data_centres_[entry.record.data_centre].OnAnswerEnded(
+        entry.activity.running());
     entries_.erase(found);
   }
 }
@@ -135,23 +117,6 @@
   return found == entries_.end() ? nullptr : &found->second.record;
 }
 
-void EndpointPool::Activity::OnBytes(TimePoint now) {
-  if (running > 0) {
-    auto interval = std::chrono::duration<double, std::milli>(now - last);
-    Average(&interval_ms, interval.count(), kIntervalWeight);
-  }
-  last = now;
-  failed_connections = 0;
-}
-
-bool EndpointPool::Activity::IsSilent(milliseconds least,
-                                      milliseconds most,
-                                      double intervals,
-                                      TimePoint now) const {
-  milliseconds limit(static_cast<std::int64_t>(intervals * interval_ms));
-  return now - last > std::min(std::max(limit, least), most);
-}
-
 bool EndpointPool::IsSilent(const EndpointId& endpoint,
                             milliseconds allowed,
                             TimePoint now) const {
@@ -159,27 +124,19 @@
   if (found == entries_.end()) {
     return true;
   }
-  milliseconds most = allowed * kMostSilencePercent / 100;
-  const Activity& own = found->second.activity;
-  milliseconds least =
-      own.running > 0 ? allowed * kLeastSilencePercent / 100 : most;
-  if (own.IsSilent(least, most, kSilentIntervals, now)) {
+  milliseconds most = allowed * kSilencePercent / 100;
+  if (found->second.activity.SilentFor(now) > most) {
     return true;
   }
   auto group = data_centres_.find(found->second.record.data_centre);
   return group != data_centres_.end() &&
-         group->second.running >= kMinRunningOfDataCentre &&
-         group->second.IsSilent(kLeastDataCentreSilence, most,
-                                kSilentDataCentreIntervals, now);
+         group->second.IsUnusuallySilent(most, now);
 }
 
 bool EndpointPool::IsUnreachable(const DataCentreId& data_centre,
                                  TimePoint now) const {
   auto found = data_centres_.find(data_centre);
-  return found != data_centres_.end() &&
-         found->second.failed_connections >= kUnreachableConnections &&
-         now - found->second.last > kUnreachableTime &&
-         now - found->second.probed_at < kProbeInterval;
+  return found != data_centres_.end() && found->second.IsUnreachable(now);
 }
 
 int EndpointPool::CountReady(const ServiceId& service,
@@ -235,8 +192,8 @@
     const std::vector<Entry*>& entries) const {
   std::vector<double> times;
   for (const Entry* entry : entries) {
-    if (entry->first_byte_ms > 0) {
-      times.push_back(entry->first_byte_ms);
+    if (entry->first_byte_ms.value() > 0) {
+      times.push_back(entry->first_byte_ms.value());
     }
   }
   if (times.empty()) {
@@ -262,8 +219,9 @@
                            double typical_first_byte_ms) const {
   // Slower than usual by more than two counts as that much more load.
   double slowness = 1;
-  if (typical_first_byte_ms > 0 && entry.first_byte_ms > 0) {
-    slowness = std::max(1.0, entry.first_byte_ms / typical_first_byte_ms / 2);
+  if (typical_first_byte_ms > 0 && entry.first_byte_ms.value() > 0) {
+    slowness =
+        std::max(1.0, entry.first_byte_ms.value() / typical_first_byte_ms / 2);
   }
   bool far = entry.record.data_centre != query.near;
   if (query.work.prompt_tokens <= 0) {
@@ -355,10 +313,8 @@
     return;
   }
   Entry& entry = found->second;
-  if (entry.in_flight == 0) {
-    entry.activity.last = now;
-  }
-  data_centres_[entry.record.data_centre].probed_at = now;
+  entry.activity.OnRequest(now, entry.in_flight == 0);
+  data_centres_[entry.record.data_centre].OnRequest(now, false);
   ++entry.in_flight;
   entry.waiting_tokens += work.prompt_tokens * work.model_weight;
   entry.sends.Add(now);
@@ -382,12 +338,11 @@
   }
   Entry& entry = found->second;
   OnActivity(endpoint, now);
-  ++entry.activity.running;
-  ++data_centres_[entry.record.data_centre].running;
+  entry.activity.OnAnswerBegun();
+  data_centres_[entry.record.data_centre].OnAnswerBegun();
   entry.waiting_tokens -= work.prompt_tokens * work.model_weight;
   entry.running_weight += work.model_weight;
-  Average(&entry.first_byte_ms, static_cast<double>(time.count()) / 1000,
-          kTimeWeight);
+  entry.first_byte_ms.Add(static_cast<double>(time.count()) / 1000);
 }
 
 void EndpointPool::OnEnd(const EndpointId& endpoint,
@@ -402,9 +357,8 @@
   Entry& entry = found->second;
   entry.in_flight = std::max(entry.in_flight - 1, 0);
   if (had_first_byte) {
-    entry.activity.running = std::max(entry.activity.running - 1, 0);
-    Activity& group = data_centres_[entry.record.data_centre];
-    group.running = std::max(group.running - 1, 0);
+    entry.activity.OnAnswerEnded();
+    data_centres_[entry.record.data_centre].OnAnswerEnded();
     entry.running_weight =
         std::max(entry.running_weight - work.model_weight, 0.0);
   } else {
@@ -427,7 +381,7 @@
       int doublings = std::min(entry.broken_in_a_row, kMaxAvoidDoublings);
       ++entry.broken_in_a_row;
       if (result == AttemptResult::kUnreachable) {
-        ++data_centres_[entry.record.data_centre].failed_connections;
+        data_centres_[entry.record.data_centre].OnConnectFailed();
       }
       entry.avoid_until =
           std::max(entry.avoid_until, now + kAvoidBase * (1 << doublings));
--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "src/dispatch/endpoint_activity.h"
 #include "src/dispatch/sliding_counter.h"
 #include "src/fleet/fleet_documents.h"
 
@@ -121,25 +122,6 @@
                  bool same) const;
 
  private:
-  // Signs of life of one endpoint or of all endpoints of a data centre.
-  struct Activity {
-    // Answers in progress.
-    int running = 0;
-    TimePoint last{};
-    // Moving average of the time between bytes while answers are in progress.
-    double interval_ms = 0;
-    // Connections that were not made since the latest bytes.
-    int failed_connections = 0;
-    // Time of the latest request that was sent there all the same.
-    TimePoint probed_at{};
-
-    void OnBytes(TimePoint now);
-    bool IsSilent(std::chrono::milliseconds least,
-                  std::chrono::milliseconds most,
-                  double intervals,
-                  TimePoint now) const;
-  };
-
   struct Entry {
     explicit Entry(RoutedEndpoint value);
     RoutedEndpoint record;
@@ -153,10 +135,10 @@
     SlidingCounter sends;
     TimePoint avoid_until{};
     int broken_in_a_row = 0;
-    // Moving averages; the failure share is of answers that are no refusals.
+    // Moving average over answers that are no refusals.
     double failure_share = 0;
-    double first_byte_ms = 0;
-    Activity activity;
+    MovingAverage first_byte_ms{0.15};
+    EndpointActivity activity;
   };
 
   bool IsUnreachable(const DataCentreId& data_centre, TimePoint now) const;
@@ -177,7 +159,7 @@
   int instances_ = 1;
   bool cold_allowed_ = false;
   std::unordered_map<EndpointId, Entry> entries_;
-  std::unordered_map<DataCentreId, Activity> data_centres_;
+  std::unordered_map<DataCentreId, EndpointActivity> data_centres_;
 };
 
 }  // namespace filbertshift
