Let filbertshiftctl read from filbertshift-gatewayd

The peer address serves /v1/instance, /v1/endpoints and /v1/rollouts in the form of filbertshiftd's admin address, so that the verbs instances, endpoints and rollouts work on the users' platform too. The new verb views shows the configuration in force, where the view is read and how old each table is.

--- a/src/ctl/show_verbs.cc
+++ b/src/ctl/show_verbs.cc
@@ -240,8 +240,38 @@
 }
 
 ExitCode RunRollouts(const Invocation& invocation) {
-  return ShowObjects(invocation, "/v1/rollouts", "rollouts",
-                     {"model", "stable", "candidate", "exposure", "state"});
+  return ShowObjects(
+      invocation, "/v1/rollouts", "rollouts",
+      {"model", "service", "stable", "candidate", "exposure", "state"});
+}
+
+ExitCode RunViews(const Invocation& invocation) {
+  std::vector<InstanceReply> replies =
+      RunningSystem(invocation).ReadAll("/v1/instance");
+  if (invocation.json) {
+    PrintReplies(invocation, replies);
+    return ReachedAll(replies);
+  }
+  const std::vector<const char*> columns = {
+      "configuration",    "source",           "operator_age_ms",
+      "endpoints_age_ms", "instances_age_ms", "in_progress"};
+  std::vector<TableCells> rows;
+  for (const InstanceReply& reply : replies) {
+    if (!reply.body) {
+      rows.push_back({reply.address, "not reachable: " + reply.detail});
+      continue;
+    }
+    TableCells row = {reply.address, Cell(*reply.body, "instance")};
+    nlohmann::json view = reply.body->value("view", nlohmann::json::object());
+    for (const char* column : columns) {
+      row.push_back(Cell(view, column));
+    }
+    rows.push_back(std::move(row));
+  }
+  TableCells heading = {"address", "instance"};
+  heading.insert(heading.end(), columns.begin(), columns.end());
+  PrintTable(invocation.environment.out, heading, rows);
+  return ReachedAll(replies);
 }
 
 }  // namespace
@@ -275,6 +305,12 @@
        AddNoOptions,
        RunEndpoints},
       {"rollouts", {}, "show the rollouts", "", AddNoOptions, RunRollouts},
+      {"views",
+       {},
+       "show what each filbertshift-gatewayd knows, from where and how old",
+       "The address is the one for other instances (peer_listen).",
+       AddNoOptions,
+       RunViews},
   };
 }
 
--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -117,6 +117,11 @@
   return found == entries_.end() ? nullptr : &found->second.record;
 }
 
+int EndpointPool::InFlight(const EndpointId& endpoint) const {
+  auto found = entries_.find(endpoint);
+  return found == entries_.end() ? 0 : found->second.in_flight;
+}
+
 bool EndpointPool::IsSilent(const EndpointId& endpoint,
                             milliseconds allowed,
                             TimePoint now) const {
--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -110,6 +110,7 @@
              TimePoint now);
 
   const RoutedEndpoint* Find(const EndpointId& endpoint) const;
+  int InFlight(const EndpointId& endpoint) const;
   // The endpoint has sent nothing on any connection for so long that its
   // requests no longer run, or nothing comes from its whole data centre.
   // `allowed` is the longest pause that an answer in time may have.
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -52,6 +52,10 @@
     return repeats_.HasRoom(service, transport_->Now());
   }
   std::size_t in_progress() const { return exchanges_.size(); }
+  // Requests that this instance has at the endpoint.
+  int InFlight(const EndpointId& endpoint) const {
+    return pool_.InFlight(endpoint);
+  }
   // Requests of the service that run on other versions than `version`.
   int CountOnOtherVersions(const ServiceId& service,
                            const VersionId& version) const;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "src/gateway/gateway_metrics.h"
 #include "src/gateway/gateway_ports.h"
 #include "src/gateway/gateway_settings.h"
+#include "src/gateway/operator_pages.h"
 #include "src/gateway/peer_exchange.h"
 #include "src/gateway/rollout_control.h"
 #include "src/gateway/store_writer.h"
@@ -94,6 +95,7 @@
   HttpClient store_client_;
   HttpClient peer_client_;
   ViewSource source_;
+  OperatorPages operator_pages_;
   PeerService peer_service_;
   CallerServer peer_server_;
   StoreWriter writer_;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/gateway/operator_pages.h"
+
 namespace filbertshift {
 
 namespace {
@@ -99,9 +101,14 @@
 
 PeerService::PeerService(const FleetView& view,
                          const PeerSourceProvider& source,
+                         const OperatorPages& pages,
                          const Transport& transport,
                          GatewayMetrics* metrics)
-    : view_(view), source_(source), transport_(transport), metrics_(metrics) {}
+    : view_(view),
+      source_(source),
+      pages_(pages),
+      transport_(transport),
+      metrics_(metrics) {}
 
 void PeerService::OnRequest(ConnectionId caller,
                             HttpRequestHead head,
@@ -114,6 +121,9 @@
   } else if (head.target == kMetricsPath) {
     answer.headers.Add("Content-Type", "text/plain; version=0.0.4");
     body = metrics_->Serialize();
+  } else if (std::optional<std::string> page = pages_.Page(head.target)) {
+    answer.headers.Add("Content-Type", "application/json");
+    body = std::move(*page);
   } else {
     answer = {404, "Not Found", {}};
   }
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -44,17 +44,20 @@
 // Throws FindingsError if the bytes are no such message.
 PeerView DecodePeerView(const std::string& bytes);
 
+class OperatorPages;
+
 class PeerSourceProvider {
  public:
   virtual ~PeerSourceProvider() = default;
   virtual PeerSource Source() const = 0;
 };
 
-// Serves the view, and the metrics beside it.
+// Serves the view, and beside it the pages for operators and the metrics.
 class PeerService : public HttpRequestHandler {
  public:
   PeerService(const FleetView& view,
               const PeerSourceProvider& source,
+              const OperatorPages& pages,
               const Transport& transport,
               GatewayMetrics* metrics);
   void SetServer(CallerServer* server) { server_ = server; }
@@ -70,6 +73,7 @@
 
   const FleetView& view_;
   const PeerSourceProvider& source_;
+  const OperatorPages& pages_;
   const Transport& transport_;
   GatewayMetrics* const metrics_;
   CallerServer* server_ = nullptr;
--- a/src/gateway/view_source.cc
+++ b/src/gateway/view_source.cc
@@ -69,7 +69,8 @@
 
 void ViewSource::Step(const std::vector<LiveInstance>& live, bool rollout) {
   TimePoint now = transport_->Now();
-  relay_.SetInstances(live);
+  live_ = live;
+  relay_.SetInstances(live_);
   SetReader(view_->complete() ? relay_.Current(now) : std::nullopt);
   SetPace(rollout);
   ReadPeer();
@@ -83,10 +84,8 @@
   if (same) {
     return;
   }
-  log_->Write(
-      EventId::kViewSourceChanged,
-      fmt::format("source={}",
-                  reader_.has_value() ? reader_->instance.value() : "store"));
+  log_->Write(EventId::kViewSourceChanged,
+              fmt::format("source={}", SourceName()));
   if (!reader_.has_value()) {
     // Connections that were idle meanwhile may have gone silent.
     store_client_->CloseIdle(settings_.store_address);
@@ -171,6 +170,10 @@
          *store_clock_offset_;
 }
 
+std::string ViewSource::SourceName() const {
+  return reader_.has_value() ? reader_->instance.value() : "store";
+}
+
 PeerSource ViewSource::Source() const {
   PeerSource source;
   source.store_time = StoreTime();
--- a/src/gateway/view_source.h
+++ b/src/gateway/view_source.h
@@ -36,6 +36,11 @@
   // The store's steady clock; empty if it is not known yet.
   std::optional<std::chrono::milliseconds> StoreTime() const;
 
+  // The instance whose view is read, or "store".
+  std::string SourceName() const;
+  // All live instances, as of the latest step.
+  const std::vector<LiveInstance>& live() const { return live_; }
+
   PeerSource Source() const override;
 
   // StoreFollowerListener and PeerReaderListener:
@@ -68,6 +73,7 @@
   // In the order of StoreTable.
   std::vector<std::unique_ptr<StoreFollower>> followers_;
   RelayChoice relay_;
+  std::vector<LiveInstance> live_;
   // The instance whose view is read instead of the store.
   std::optional<LiveInstance> reader_;
   TimePoint next_read_{};
--- a/tests/unit/ctl/commands_test.cc
+++ b/tests/unit/ctl/commands_test.cc
@@ -90,6 +90,11 @@
             {"seat", 0},
             {"ready", true},
             {"revisions", revisions},
+            {"view",
+             {{"configuration", 7},
+              {"source", "store"},
+              {"operator_age_ms", 12},
+              {"in_progress", 3}}},
             {"peers", {{{"up", true}}}}};
   }
 
@@ -187,8 +192,9 @@
   CHECK(Run({"--help"}) == ExitCode::kOk);
   for (const char* verb :
        {"validate", "diff", "apply", "show", "status", "instances", "endpoints",
-        "rollouts", "rollout start", "rollout pause", "rollout withdraw",
-        "drain", "restore", "timeline", "events", "settings"}) {
+        "rollouts", "views", "rollout start", "rollout pause",
+        "rollout withdraw", "drain", "restore", "timeline", "events",
+        "settings"}) {
     INFO(verb);
     CHECK(out_.str().find(std::string("  ") + verb) != std::string::npos);
   }
@@ -373,6 +379,13 @@
         "address  instance                data_centre  seat  ready  peers up\n"
         "a        entry-a                 dc           0     true   1/1\n"
         "c        not reachable: refused\n");
+  CHECK(Run({"views", "--instances", file}) == ExitCode::kNotReachable);
+  CHECK(out_.str() ==
+        "address  instance                configuration  source  "
+        "operator_age_ms  endpoints_age_ms  instances_age_ms  in_progress\n"
+        "a        entry-a                 7              store   12        "
+        "       -                 -                 3\n"
+        "c        not reachable: refused\n");
   CHECK(RunThere({"endpoints"}) == ExitCode::kOk);
   CHECK(out_.str().find("e1") != std::string::npos);
   CHECK(RunThere({"rollouts", "--json"}) == ExitCode::kOk);
--- a/tests/unit/gateway/whole_path_test.cc
+++ b/tests/unit/gateway/whole_path_test.cc
@@ -179,6 +179,18 @@
                     &metrics);
   site.RunUntil([&metrics] { return metrics.done; });
   CHECK(metrics.body.find("filbertshift_exchanges_total") != std::string::npos);
+  for (const auto& [page, part] :
+       std::map<std::string, std::string>{{"instance", R"("configuration":1)"},
+                                          {"endpoints", R"("endpoint":"w1")"},
+                                          {"rollouts", R"({"rollouts":[]})"}}) {
+    Caller operator_page;
+    site.client.Start(site.peer_addresses[0],
+                      "GET /v1/" + page + " HTTP/1.1\r\nHost: h\r\n\r\n",
+                      milliseconds(0), &operator_page);
+    site.RunUntil([&operator_page] { return operator_page.done; });
+    INFO(operator_page.body);
+    CHECK(operator_page.body.find(part) != std::string::npos);
+  }
   CHECK(site.RunUntil(
       [&site] { return site.store.Has("filbertshift", "instance/i1"); }));
 }
