Keep long prompts off the largest model where it reads them too late

Change: LargerModel takes the largest model that reads the prompt within 110% of the allowed pause and what is left of the objective; the time for each token is learned.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -71,6 +71,11 @@
   int confidence = -1;
   // Invariant: set once a byte of the answer's head went to the caller.
   bool answer_begun = false;
+  // Times of the first and the latest bytes for the caller, and the longest
+  // pause between two pieces.
+  TimePoint first_delivery_at{};
+  TimePoint latest_delivery_at{};
+  std::chrono::milliseconds longest_pause{0};
   // Event after which the stream goes on; the caller's own at first.
   std::optional<std::string> last_event_id;
   // The endpoint's own failure, delivered if no other endpoint answers.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -265,6 +265,9 @@
   transport_->Cancel(exchange->deadline_timer);
   transport_->Cancel(exchange->dispatch_timer);
   auto taken = duration_cast<microseconds>(now - exchange->arrived_at);
+  bool delivered = exchange->first_delivery_at != TimePoint();
+  auto first = duration_cast<milliseconds>(
+      delivered ? exchange->first_delivery_at - exchange->arrived_at : taken);
   std::string route =
       exchange->route == nullptr ? "none" : exchange->route->name;
   metrics_->CountExchange(route, outcome);
@@ -275,10 +278,13 @@
       fmt::format(
           "outcome={} status={} route={} session={} model={} version={} "
           "sends={} runs={} "
-          "ms={} confidence={} last_event={} config={} trouble={}",
+          "ms={} first_ms={} pause_ms={} prompt={} confidence={} last_event={} "
+          "config={} trouble={}",
           outcome, status, route, exchange->session, exchange->model.value(),
           version, exchange->sends, exchange->runs, taken.count() / 1000,
-          exchange->confidence, exchange->last_event_id.value_or("-"),
+          first.count(), exchange->longest_pause.count(),
+          exchange->metadata.prompt_tokens, exchange->confidence,
+          exchange->last_event_id.value_or("-"),
           exchange->configuration == nullptr ? 0
                                              : exchange->configuration->version,
           exchange->trouble.empty() ? "-" : exchange->trouble));
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -94,6 +94,8 @@
 
   // Attempts.
   void Dispatch(ConnectionId caller);
+  // Cost of a token relative to the largest model of the service.
+  double ModelWeight(const Exchange& exchange, const ModelId& model) const;
   ChoiceQuery QueryFor(const Exchange& exchange) const;
   VersionRule RuleFor(const Exchange& exchange) const;
   void StartAttempt(Exchange* exchange, const RoutedEndpoint& endpoint);
@@ -116,6 +118,7 @@
   void CompleteFailure(Exchange* exchange);
   void DeliverEvents(Exchange* exchange, const std::string& events);
   void BeginAnswer(Exchange* exchange);
+  void NoteDelivery(Exchange* exchange);
   bool EscalateIfUnsure(Exchange* exchange);
   void GiveUp(Exchange* exchange, int status, std::string_view code);
   void OnDeadline(ConnectionId caller);
@@ -143,6 +146,7 @@
   VersionPolicy versions_;
   RolloutEvidence evidence_;
   WaitGauge waits_;
+  PromptGauge prompts_;
   // By the number of the caller's connection.
   std::unordered_map<ExchangeKey, Exchange> exchanges_;
   // Invariant: the call of each attempt, and nothing else.
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -121,6 +122,9 @@
   auto waited = duration_cast<microseconds>(now - attempt.started_at);
   pool_.OnFirstByte(attempt.endpoint, attempt.work, waited, now);
   waits_.OnFirstByte(exchange->service, waited);
+  prompts_.OnFirstByte(exchange->service,
+                       attempt.work.prompt_tokens * attempt.work.model_weight,
+                       waited);
   if (exchange->confidence < 0) {
     exchange->confidence = answer.confidence.value_or(-1);
   }
@@ -143,8 +147,15 @@
     return false;
   }
   std::optional<ModelId> larger =
-      LargerModel(route, attempt.model, *attempt.answer.confidence,
-                  waits_.Wait(exchange->service));
+      LargerModel(route,
+                  {attempt.model, *attempt.answer.confidence,
+                   duration_cast<microseconds>(now - exchange->arrived_at)},
+                  waits_.Wait(exchange->service), [&](const ModelId& model) {
+                    return prompts_.TimeFor(
+                        exchange->service,
+                        static_cast<double>(exchange->metadata.prompt_tokens) *
+                            ModelWeight(*exchange, model));
+                  });
   if (!larger.has_value() || !HasRoomForRepeat(exchange->service)) {
     return false;
   }
@@ -194,6 +205,18 @@
                        HeadForCaller(exchange->attempt->head));
 }
 
+void Forwarder::NoteDelivery(Exchange* exchange) {
+  TimePoint now = transport_->Now();
+  if (exchange->first_delivery_at == TimePoint()) {
+    exchange->first_delivery_at = now;
+  } else {
+    exchange->longest_pause = std::max(
+        exchange->longest_pause,
+        duration_cast<milliseconds>(now - exchange->latest_delivery_at));
+  }
+  exchange->latest_delivery_at = now;
+}
+
 void Forwarder::DeliverEvents(Exchange* exchange, const std::string& events) {
   std::string out;
   std::string_view rest = events;
@@ -210,6 +233,7 @@
     out.append(event);
   }
   BeginAnswer(exchange);
+  NoteDelivery(exchange);
   server_->SendStream(exchange->caller, out);
   if (server_->UnsentBytes(exchange->caller) > kMaxUnsentBytes) {
     exchange->trouble = "caller does not read";
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -53,6 +53,22 @@
                            exchange.session, transport_->Now());
 }
 
+double Forwarder::ModelWeight(const Exchange& exchange,
+                              const ModelId& model) const {
+  const ServiceSettings* service =
+      exchange.configuration->FindService(exchange.service);
+  if (service == nullptr) {
+    return 1;
+  }
+  double largest = 0;
+  double own = 0;
+  for (const ModelCost& entry : service->models) {
+    largest = std::max(largest, entry.cost);
+    own = entry.model == model ? entry.cost : own;
+  }
+  return largest > 0 && own > 0 ? own / largest : 1;
+}
+
 ChoiceQuery Forwarder::QueryFor(const Exchange& exchange) const {
   ChoiceQuery query;
   query.service = exchange.service;
@@ -75,17 +91,7 @@
   }
   query.work.prompt_tokens =
       static_cast<double>(exchange.metadata.prompt_tokens);
-  const ServiceSettings* service =
-      exchange.configuration->FindService(exchange.service);
-  if (service != nullptr) {
-    double largest = 0;
-    double own = 0;
-    for (const ModelCost& entry : service->models) {
-      largest = std::max(largest, entry.cost);
-      own = entry.model == exchange.model ? entry.cost : own;
-    }
-    query.work.model_weight = largest > 0 && own > 0 ? own / largest : 1;
-  }
+  query.work.model_weight = ModelWeight(exchange, exchange.model);
   return query;
 }
 
