--- /dev/null
+++ b/src/http1/stream_event.h
@@ -0,0 +1,23 @@
+// Single events of a text/event-stream.
+
+#ifndef SRC_HTTP1_STREAM_EVENT_H_
+#define SRC_HTTP1_STREAM_EVENT_H_
+
+#include <string>
+#include <string_view>
+
+namespace filbertshift {
+
+// Cuts the first event off a text of whole events.
+std::string_view TakeEvent(std::string_view* events);
+
+// The value of the "id" field of one event; empty if it has none.
+std::string EventIdOf(std::string_view event);
+
+// True if event `id` is not after event `last`. Ids that are no numbers are
+// only compared for equality.
+bool IsNotAfter(const std::string& id, const std::string& last);
+
+}  // namespace filbertshift
+
+#endif  // SRC_HTTP1_STREAM_EVENT_H_
