Share what the daemons' programs repeat; one class for each file

No decision changes.

Left as they are: lists of includes and of listener functions, tables of settings and events, the base64 of the stand-in for the store, which is written from the protocol on purpose, and names of rollout states, which the adapter has from the platform's page and the operators' pages have from the product.

--- a/src/config/process_settings.cc
+++ b/src/config/process_settings.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "src/config/field_types.h"
+#include "src/config/severity_field.h"
 #include "src/config/text_rules.h"
 
 namespace filbertshift {
@@ -132,13 +133,8 @@
                    "",
                    "Seed of the random numbers; 0 takes one from the operating "
                    "system. The seed in use is logged."),
-      NamedValueField(
-          "log_severity", &S::log_severity, kOptional,
-          std::vector<NamedValue<Severity>>{{"debug", Severity::kDebug},
-                                            {"info", Severity::kInfo},
-                                            {"warning", Severity::kWarning},
-                                            {"error", Severity::kError}},
-          "Least severity of the events on standard error."),
+      SeverityField(&S::log_severity,
+                    "Least severity of the events on standard error."),
       IntegerField("kept_events", &S::kept_events, kOptional,
                    ValueRange<std::size_t>{0, 1000000}, "events",
                    "Events of every severity that are kept in memory for the "
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,17 +1,12 @@
 // filbertshiftd: the daemon of one entry instance.
 
-#include <fmt/format.h>
-
 #include <boost/program_options.hpp>
 #include <csignal>
-#include <cstdio>
-#include <exception>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <string>
 #include <vector>
 
+#include "src/config/daemon_program.h"
 #include "src/daemon/daemon.h"
 
 namespace filbertshift {
@@ -19,11 +14,6 @@
 
 namespace po = boost::program_options;
 
-constexpr int kExitOk = 0;
-constexpr int kExitFailure = 1;
-constexpr int kExitUsage = 2;
-constexpr int kExitFindings = 3;
-
 struct Arguments {
   std::string settings_file;
   std::vector<std::string> overrides;
@@ -43,25 +33,13 @@
   po::variables_map values;
   po::store(po::parse_command_line(argc, argv, options), values);
   if (values.count("help") > 0) {
-    std::cout << options
-              << "\nExit codes: 0 ok, 1 failure, 2 usage, 3 findings in the "
-                 "settings\n";
+    std::cout << options << kExitCodesHelp;
     return false;
   }
   po::notify(values);
   return true;
 }
 
-std::string ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    throw std::runtime_error("cannot read " + path);
-  }
-  std::stringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 // All threads inherit the mask, so that only this function sees the signals.
 void BlockSignals(sigset_t* signals) {
   sigemptyset(signals);
@@ -73,7 +51,7 @@
 
 int Run(const Arguments& arguments) {
   ProcessSettings settings = ParseProcessSettings(
-      arguments.settings_file, ReadFile(arguments.settings_file),
+      arguments.settings_file, ReadSettingsFile(arguments.settings_file),
       arguments.overrides);
   if (arguments.check_only) {
     return kExitOk;
@@ -92,20 +70,8 @@
 
 int main(int argc, char** argv) {
   using namespace filbertshift;  // NOLINT(google-build-using-namespace)
-  Arguments arguments;
-  try {
-    if (!ParseArguments(argc, argv, &arguments)) {
-      return kExitOk;
-    }
-    return Run(arguments);
-  } catch (const boost::program_options::error& error) {
-    fmt::print(stderr, "filbertshiftd: {}\n", error.what());
-    return kExitUsage;
-  } catch (const FindingsError& error) {
-    fmt::print(stderr, "{}\n", error.what());
-    return kExitFindings;
-  } catch (const std::exception& error) {
-    fmt::print(stderr, "filbertshiftd: {}\n", error.what());
-    return kExitFailure;
-  }
+  return RunDaemonProgram("filbertshiftd", [&] {
+    Arguments arguments;
+    return ParseArguments(argc, argv, &arguments) ? Run(arguments) : kExitOk;
+  });
 }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -5,6 +5,7 @@
 #ifndef SRC_DISPATCH_DISPATCH_H_
 #define SRC_DISPATCH_DISPATCH_H_
 
+#include "src/dispatch/attempt_result.h"
 #include "src/dispatch/endpoint_activity.h"
 #include "src/dispatch/endpoint_pool.h"
 #include "src/dispatch/model_choice.h"
--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -48,24 +48,6 @@
 
 }  // namespace
 
-std::string_view AttemptResultName(AttemptResult result) {
-  switch (result) {
-    case AttemptResult::kAnswered:
-      return "answered";
-    case AttemptResult::kRefused:
-      return "refused";
-    case AttemptResult::kFailed:
-      return "failed";
-    case AttemptResult::kBroken:
-      return "broken";
-    case AttemptResult::kUnreachable:
-      return "unreachable";
-    case AttemptResult::kCancelled:
-      return "cancelled";
-  }
-  return "cancelled";
-}
-
 EndpointPool::Entry::Entry(RoutedEndpoint value)
     : record(std::move(value)), sends(kColdWindow, kColdSlice) {
   const std::string& id = record.endpoint.value();
--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "src/dispatch/attempt_result.h"
 #include "src/dispatch/endpoint_activity.h"
 #include "src/dispatch/sliding_counter.h"
 #include "src/fleet/fleet_documents.h"
@@ -58,22 +59,6 @@
   NoEndpointReason reason = NoEndpointReason::kNone;
 };
 
-enum class AttemptResult {
-  kAnswered,
-  // The endpoint said that it did not run the request.
-  kRefused,
-  // The endpoint itself reported a failure.
-  kFailed,
-  // Reset, closed, silent, or an answer that is none.
-  kBroken,
-  // No connection was made; nothing was sent.
-  kUnreachable,
-  // Ended by this instance for a reason that says nothing of the endpoint.
-  kCancelled,
-};
-
-std::string_view AttemptResultName(AttemptResult result);
-
 struct ColdLimits {
   // Bound over all instances: rate x overshoot + tolerance in any second.
   double overshoot = 1;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "src/config/field_types.h"
+#include "src/config/severity_field.h"
 #include "src/config/text_rules.h"
 
 namespace filbertshift {
@@ -101,13 +102,8 @@
                     &S::rollout_heartbeat_interval, kOptional,
                     {milliseconds(100), minutes(1)},
                     "The same as heartbeat_interval, during a rollout."),
-      NamedValueField(
-          "log_severity", &S::log_severity, kOptional,
-          std::vector<NamedValue<Severity>>{{"debug", Severity::kDebug},
-                                            {"info", Severity::kInfo},
-                                            {"warning", Severity::kWarning},
-                                            {"error", Severity::kError}},
-          "Least severity of the events on standard output."),
+      SeverityField(&S::log_severity,
+                    "Least severity of the events on standard output."),
       IntegerField("log_buffer_lines", &S::log_buffer_lines, kOptional,
                    ValueRange<std::size_t>{100, 10000000}, "lines",
                    "Log lines that wait for a slow reader; more are dropped "
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -4,7 +4,6 @@
 #ifndef SRC_GATEWAY_ROLLOUT_CONTROL_H_
 #define SRC_GATEWAY_ROLLOUT_CONTROL_H_
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -14,21 +13,6 @@
 
 namespace filbertshift {
 
-// Rate of a counter over the latest seconds.
-class RateMeter {
- public:
-  // The counter's value at `now`; a lower one than before starts anew.
-  void Add(std::int64_t value, TimePoint now);
-  double PerSecond() const;
-
- private:
-  struct Sample {
-    std::int64_t value;
-    TimePoint at;
-  };
-  std::deque<Sample> samples_;
-};
-
 class RolloutControl {
  public:
   RolloutControl(InstanceId instance,
--- /dev/null
+++ b/tests/unit/config/daemon_program_test.cc
@@ -0,0 +1,30 @@
+// Exit codes of the daemons.
+
+#include <catch2/catch.hpp>
+
+#include <boost/program_options/errors.hpp>
+#include <stdexcept>
+
+#include "src/common/common.h"
+#include "src/config/daemon_program.h"
+
+namespace filbertshift {
+namespace {
+
+// Guards against a fault of the settings that looks like a crash to a script.
+TEST_CASE("each kind of fault has its exit code", "[config]") {
+  CHECK(RunDaemonProgram("test", [] { return kExitOk; }) == kExitOk);
+  CHECK(RunDaemonProgram("test", []() -> int {
+          throw boost::program_options::required_option("settings");
+        }) == kExitUsage);
+  CHECK(RunDaemonProgram("test", []() -> int {
+          throw FindingsError({{"file", "/path", 1, 2, "wrong"}});
+        }) == kExitFindings);
+  CHECK(RunDaemonProgram("test", [] {
+          ReadSettingsFile("/no/such/file");
+          return kExitOk;
+        }) == kExitFailure);
+}
+
+}  // namespace
+}  // namespace filbertshift
