Let readers write member rows, and bound answers without an end

An instance passes its row to the reader of its view, which writes the rows of all its members with its own (MemberRowCollector); a reader that does not commit a row within the interval and 2 s is not waited for (HeartbeatSchedule). Rows are written only after another request of their instance, an earlier heartbeat never replaces a later one, and instances are considered dead by time in which rows could be read and written (MemberClock).

Endpoints in trouble: interim answers, events and bodies without an end are broken off (event_buffer_kb, response_buffer_mb), a long sound stream is no longer cut at 16 MB, a byte or a comment now and then does not count as progress, an answer without a request id is not delivered, and the connection of an answer without id is not reused. A planned stop waits for the first request of connections that were just accepted.

--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -191,6 +191,8 @@
       {EventId::kViewSourceChanged, kInfo, "view_source_changed",
        "The view is read from the store, or from the instance in the detail "
        "that reads it."},
+      {EventId::kPeerRowRejected, kWarning, "peer_row_rejected",
+       "Another instance passed a member row that cannot be written for it."},
       {EventId::kInstanceCountChanged, kInfo, "instance_count_changed",
        "The number of live instances that share limits has changed."},
   };
--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -101,6 +101,7 @@
   kPeerViewTaken = 1743,
   kPeerViewFailed = 1744,
   kViewSourceChanged = 1745,
+  kPeerRowRejected = 1746,
   kInstanceCountChanged = 1750,
 };
 
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -6,6 +6,7 @@
 #define SRC_DISPATCH_DISPATCH_H_
 
 #include "src/dispatch/attempt_result.h"
+#include "src/dispatch/buffer_budget.h"
 #include "src/dispatch/endpoint_activity.h"
 #include "src/dispatch/endpoint_pool.h"
 #include "src/dispatch/model_choice.h"
--- a/src/fleet/fleet_view.cc
+++ b/src/fleet/fleet_view.cc
@@ -50,6 +50,9 @@
   Table& known = TableFor(table);
   known.as_of = std::max(known.as_of, as_of);
   known.confirmed_at = std::max(known.confirmed_at, now);
+  if (table == StoreTable::kInstances) {
+    AdvanceMemberClock(now);
+  }
 }
 
 bool FleetView::ReplaceTable(const TableSnapshot& snapshot,
@@ -100,7 +103,7 @@
       changed = ApplyEndpointRow(row, source, now);
       break;
     case StoreTable::kInstances:
-      ApplyInstanceRow(row, now);
+      ApplyInstanceRow(row);
       break;
   }
   if (row.removed) {
@@ -245,15 +248,36 @@
   listener_->OnEndpointRemoved(endpoint);
 }
 
-void FleetView::ApplyInstanceRow(const StoreRow& row, TimePoint now) {
+// A writer that was suspended, or whose write was delayed, may put an earlier
+// row of the instance after a newer one. It must not count as a heartbeat.
+bool FleetView::IsOlderBeat(const InstanceId& instance,
+                            const MemberState& state) const {
+  auto found = members_.find(instance);
+  return found != members_.end() &&
+         found->second.state.incarnation == state.incarnation &&
+         found->second.state.beat >= state.beat;
+}
+
+void FleetView::AdvanceMemberClock(TimePoint now) {
+  member_clock_.OnRead(!changed_members_.empty(), now);
+  for (const InstanceId& instance : std::exchange(changed_members_, {})) {
+    auto found = members_.find(instance);
+    if (found != members_.end()) {
+      found->second.changed_after = member_clock_.elapsed();
+    }
+  }
+}
+
+void FleetView::ApplyInstanceRow(const StoreRow& row) {
   if (StartsWith(row.key, kMemberKeyPrefix)) {
     InstanceId instance(row.key.substr(kMemberKeyPrefix.size()));
     std::optional<MemberState> state =
         row.removed ? std::nullopt : DecodeMemberState(row.value);
-    if (state.has_value()) {
-      members_[instance] = Member{*state, row.version, now};
-    } else {
+    if (!state.has_value()) {
       members_.erase(instance);
+    } else if (!IsOlderBeat(instance, *state)) {
+      members_[instance] = Member{*state, row.version, member_clock_.elapsed()};
+      changed_members_.push_back(instance);
     }
   } else if (StartsWith(row.key, kProgressKeyPrefix)) {
     ServiceId service(row.key.substr(kProgressKeyPrefix.size()));
--- a/src/fleet/fleet_view.h
+++ b/src/fleet/fleet_view.h
@@ -5,6 +5,7 @@
 #define SRC_FLEET_FLEET_VIEW_H_
 
 #include <array>
+#include <chrono>
 #include <deque>
 #include <map>
 #include <memory>
@@ -15,6 +16,7 @@
 #include <vector>
 
 #include "src/fleet/document_codec.h"
+#include "src/fleet/member_clock.h"
 #include "src/fleet/member_state.h"
 #include "src/fleet/rollout_driver.h"
 #include "src/fleet/store_row.h"
@@ -107,10 +109,14 @@
   struct Member {
     MemberState state;
     std::int64_t row_version = 0;
-    // Local time at which the row last changed.
-    TimePoint changed_at{};
+    // Member time at which the row last changed.
+    std::chrono::milliseconds changed_after{0};
   };
   const std::map<InstanceId, Member>& members() const { return members_; }
+  // Time in which instances could show that they are live.
+  std::chrono::milliseconds member_time() const {
+    return member_clock_.elapsed();
+  }
 
  private:
   struct KnownRow {
@@ -143,7 +149,9 @@
   void ApplyOrder(const ServiceId& service, const StoreRow& row);
   // Returns whether anything but the heartbeat changed.
   bool ApplyEndpointRow(const StoreRow& row, RowSource source, TimePoint now);
-  void ApplyInstanceRow(const StoreRow& row, TimePoint now);
+  void ApplyInstanceRow(const StoreRow& row);
+  void AdvanceMemberClock(TimePoint now);
+  bool IsOlderBeat(const InstanceId& instance, const MemberState& state) const;
   void RemoveEndpoint(const EndpointId& endpoint,
                       RowSource source,
                       TimePoint now);
@@ -160,6 +168,9 @@
   std::set<DataCentreId> evacuated_;
   std::map<ServiceId, RolloutOrder> orders_;
   std::map<InstanceId, Member> members_;
+  MemberClock member_clock_;
+  // Members whose row has changed since the member clock last advanced.
+  std::vector<InstanceId> changed_members_;
   std::map<ServiceId, RolloutProgress> progress_;
   std::optional<TimePoint> last_store_failure_;
   // Endpoints whose record has lapsed, with the time at which they are removed
--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <chrono>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -13,6 +15,9 @@
 // Limit on buffered bytes of pipelined requests, in addition to the maximum
 // body size.
 constexpr std::size_t kMaxPendingBytes = std::size_t{256} * 1024;
+// How long the first request of a new connection is waited for when idle
+// connections are closed.
+constexpr std::chrono::milliseconds kFirstRequestWait{500};
 
 std::uint64_t Number(ConnectionId id) {
   return static_cast<std::uint64_t>(id);
@@ -32,6 +37,7 @@
   HttpParseLimits limits{limits_.max_head_bytes, limits_.max_body_bytes};
   auto connection = std::make_unique<Connection>(limits);
   Connection* added = connection.get();
+  added->accepted_at = transport_->Now();
   connections_.emplace(Number(id), std::move(connection));
   ArmIdleTimer(id, added);
 }
@@ -47,6 +53,7 @@
     OnEnd(id, ConnectionEnd::kReset);
     return;
   }
+  connection->unused = false;
   connection->pending.append(data);
   if (!connection->in_request) {
     Process(id);
@@ -238,12 +245,23 @@
       limits_.head_timeout, [this, id] { Reject(id, 408, "request timeout"); });
 }
 
+bool CallerServer::AwaitsFirstRequest(const Connection& connection) const {
+  return connection.unused &&
+         transport_->Now() - connection.accepted_at < kFirstRequestWait;
+}
+
+bool CallerServer::AwaitsFirstRequest() const {
+  return std::any_of(
+      connections_.begin(), connections_.end(),
+      [this](const auto& entry) { return AwaitsFirstRequest(*entry.second); });
+}
+
 void CallerServer::CloseIdle() {
   std::vector<ConnectionId> idle;
   for (const auto& entry : connections_) {
     const Connection& connection = *entry.second;
     if (!connection.in_request && !connection.parser.started() &&
-        connection.pending.empty()) {
+        connection.pending.empty() && !AwaitsFirstRequest(connection)) {
       idle.push_back(ConnectionId{entry.first});
     }
   }
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -35,8 +35,12 @@
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
   // Closes each connection after its next response.
   void BeginClosing() { closing_ = true; }
-  // Closes connections that have no request in progress.
+  // Closes connections that have no request in progress, except those whose
+  // first request may still be on its way.
   void CloseIdle();
+  // Whether a connection was accepted so recently that its first request may
+  // still be on its way.
+  bool AwaitsFirstRequest() const;
 
   // Adds the framing header fields; `head` must not contain any.
   void Respond(ConnectionId caller,
@@ -68,10 +72,14 @@
     bool keep_alive = true;
     bool streaming = false;
     bool parsing = false;
+    // No request has started to arrive yet.
+    bool unused = true;
+    TimePoint accepted_at{};
     TimerId timer{};
   };
 
   Connection* Find(ConnectionId id);
+  bool AwaitsFirstRequest(const Connection& connection) const;
   void Process(ConnectionId id);
   // Returns true if a complete request is ready for the handler.
   bool ParseRequest(ConnectionId id, Connection* connection);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -24,12 +24,17 @@
   ModelId model;
   WorkEstimate work;
   TimePoint started_at{};
-  // When the latest bytes arrived; `started_at` before the first.
+  // When the response last advanced; `started_at` before its head. A few bytes,
+  // or events without content, do not advance it.
   TimePoint progress_at{};
+  // Bytes of a response that is not streamed, since it last advanced.
+  std::size_t bytes_since_progress = 0;
   TimePoint first_byte_at{};
   bool head_seen = false;
   HttpResponseHead head;
   ResponseMetadata response_metadata;
+  // The response carries the id of this request.
+  bool names_request = false;
   // Body of a response that is not streamed.
   std::string body;
   EventSplitter events;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace filbertshift {
@@ -40,6 +41,14 @@
   return HashText(parts[position].id);
 }
 
+// Bodies are not limited here: a long stream is sound, and the buffer budget
+// bounds what is held.
+HttpParseLimits ResponseLimits() {
+  HttpParseLimits limits;
+  limits.max_body_bytes = std::numeric_limits<std::size_t>::max();
+  return limits;
+}
+
 }  // namespace
 
 Forwarder::Forwarder(Transport* transport,
@@ -57,9 +66,10 @@
       metrics_(metrics),
       data_centre_(std::move(data_centre)),
       limits_(limits),
-      client_(transport, connect_timeout),
+      client_(transport, connect_timeout, ResponseLimits()),
       pool_(limits.cold),
       repeats_(limits.repeats),
+      buffers_(limits.max_buffered_bytes),
       versions_(limits.session_retention) {
   pool_.SetEvacuated([this](const DataCentreId& data_centre_id) {
     return view_.IsEvacuated(data_centre_id);
@@ -291,6 +301,7 @@
           exchange->configuration == nullptr ? 0
                                              : exchange->configuration->version,
           exchange->failure_detail.empty() ? "-" : exchange->failure_detail));
+  buffers_.Remove(Number(exchange->caller));
   exchanges_.erase(Number(exchange->caller));
   metrics_->SetInProgress(exchanges_.size());
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -22,6 +22,10 @@
   // instances already use.
   std::chrono::milliseconds max_configuration_age{2000};
   std::chrono::milliseconds session_retention{5000};
+  // Bytes of all responses held for their rest or for slow callers.
+  std::size_t max_buffered_bytes = std::size_t{64} * 1024 * 1024;
+  // Bytes of one event of a stream.
+  std::size_t max_event_bytes = std::size_t{1024} * 1024;
   RepeatLimits repeats;
   ColdLimits cold;
 };
@@ -52,6 +56,8 @@
     return repeats_.AllowsRepeat(service, transport_->Now());
   }
   std::size_t in_progress() const { return exchanges_.size(); }
+  // Bytes of responses held for their rest or for slow callers.
+  std::size_t buffered_bytes() const { return buffers_.total(); }
   // Requests of this instance in progress at the endpoint.
   int InFlight(const EndpointId& endpoint) const {
     return pool_.InFlight(endpoint);
@@ -117,7 +123,14 @@
   void CompleteBuffered(Exchange* exchange);
   void CompleteStream(Exchange* exchange);
   void CompleteFailure(Exchange* exchange);
-  void DeliverEvents(Exchange* exchange, const std::string& events);
+  // Returns false if the exchange has ended.
+  bool DeliverEvents(Exchange* exchange, const std::string& events);
+  void ReceiveEvents(Exchange* exchange, std::string_view data);
+  void ReceiveBody(Exchange* exchange, std::string_view data);
+  // Breaks responses off while they exceed the buffer budget; the exchange may
+  // be one of them.
+  void HoldWithinBudget(Exchange* exchange);
+  void BreakOffExcess(Exchange* exchange);
   void BeginResponse(Exchange* exchange);
   void RecordDelivery(Exchange* exchange);
   // Restarts the request on a larger model if the response's confidence is low.
@@ -130,7 +143,7 @@
               RunState run);
   void Finish(Exchange* exchange, int status, std::string_view outcome);
   void RecordOutcome(const Exchange& exchange, bool failed);
-  void RecordGap(const Exchange& exchange);
+  void RecordGap(const Exchange& exchange, TimePoint now);
   EvidenceKey EvidenceKeyOf(const Exchange& exchange) const;
 
   Transport* const transport_;
@@ -145,6 +158,8 @@
   HttpClient client_;
   EndpointPool pool_;
   RepeatBudget repeats_;
+  // Keyed as `exchanges_`.
+  BufferBudget buffers_;
   VersionPolicy versions_;
   RolloutEvidence evidence_;
   FirstByteWaitEstimator waits_;
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -24,6 +24,9 @@
 // Number of event blocks at the start of a stream over which the mean gap is
 // computed.
 constexpr int kGapSampleBlocks = 4;
+// A response that is not streamed advances with this many bytes. An endpoint in
+// trouble may send one byte now and then.
+constexpr std::size_t kMinProgressBytes = 512;
 
 HttpResponseHead HeadForCaller(HttpResponseHead head) {
   RemoveConnectionFields(&head.headers);
@@ -34,6 +37,16 @@
   return status / 100 == 2;
 }
 
+// Whether the response comes from the endpoint, unchanged and to this request.
+bool IsGenuine(const EndpointAttempt& attempt) {
+  return attempt.response_metadata.sealed && attempt.names_request &&
+         !attempt.response_metadata.encoded;
+}
+
+bool IsGenuineSuccess(const EndpointAttempt& attempt) {
+  return IsSuccess(attempt.head.status) && IsGenuine(attempt);
+}
+
 }  // namespace
 
 EvidenceKey Forwarder::EvidenceKeyOf(const Exchange& exchange) const {
@@ -45,11 +58,10 @@
 }
 
 // Measured early in a stream, because streams of a slow version end late.
-void Forwarder::RecordGap(const Exchange& exchange) {
+void Forwarder::RecordGap(const Exchange& exchange, TimePoint now) {
   const EndpointAttempt& attempt = *exchange.attempt;
   if (attempt.event_blocks == kGapSampleBlocks) {
-    auto duration = duration_cast<microseconds>(attempt.progress_at -
-                                                attempt.first_byte_at);
+    auto duration = duration_cast<microseconds>(now - attempt.first_byte_at);
     evidence_.OnMeanGap(EvidenceKeyOf(exchange),
                         duration / (kGapSampleBlocks - 1));
   }
@@ -73,6 +85,7 @@
   attempt.head_seen = true;
   attempt.head = head;
   attempt.response_metadata = response_metadata;
+  attempt.names_request = !response_metadata.request_id.empty();
   attempt.progress_at = now;
   attempt.first_byte_at = now;
   auto waited = duration_cast<microseconds>(now - attempt.started_at);
@@ -84,11 +97,12 @@
   if (exchange->confidence < 0) {
     exchange->confidence = response_metadata.confidence.value_or(-1);
   }
-  if (IsSuccess(head.status) && response_metadata.sealed) {
+  bool named = attempt.names_request;
+  if (IsSuccess(head.status) && response_metadata.sealed && named) {
     evidence_.OnFirstByte(EvidenceKeyOf(*exchange), waited);
     EscalateOnLowConfidence(exchange);
   }
-  return HeadDecision::kAccept;
+  return named ? HeadDecision::kAccept : HeadDecision::kAcceptLast;
 }
 
 bool Forwarder::EscalateOnLowConfidence(Exchange* exchange) {
@@ -132,22 +146,72 @@
 
 void Forwarder::OnBody(CallId call, std::string_view data) {
   Exchange* exchange = Find(call);
+  const EndpointAttempt& attempt = *exchange->attempt;
+  pool_.OnActivity(attempt.endpoint, transport_->Now());
+  if (exchange->route->kind == RouteKind::kStreaming &&
+      IsGenuineSuccess(attempt)) {
+    ReceiveEvents(exchange, data);
+  } else {
+    ReceiveBody(exchange, data);
+  }
+}
+
+void Forwarder::ReceiveBody(Exchange* exchange, std::string_view data) {
   EndpointAttempt& attempt = *exchange->attempt;
-  attempt.progress_at = transport_->Now();
-  pool_.OnActivity(attempt.endpoint, attempt.progress_at);
-  bool is_stream = exchange->route->kind == RouteKind::kStreaming &&
-                   IsSuccess(attempt.head.status) &&
-                   attempt.response_metadata.sealed &&
-                   !attempt.response_metadata.encoded;
-  if (!is_stream) {
-    attempt.body.append(data);
-    return;
+  attempt.body.append(data);
+  attempt.bytes_since_progress += data.size();
+  if (attempt.bytes_since_progress >= kMinProgressBytes) {
+    attempt.bytes_since_progress = 0;
+    attempt.progress_at = transport_->Now();
   }
+  HoldWithinBudget(exchange);
+}
+
+void Forwarder::ReceiveEvents(Exchange* exchange, std::string_view data) {
+  EndpointAttempt& attempt = *exchange->attempt;
   std::string events = attempt.events.Add(data);
   if (!events.empty()) {
     ++attempt.event_blocks;
-    RecordGap(*exchange);
-    DeliverEvents(exchange, events);
+    RecordGap(*exchange, transport_->Now());
+    if (!DeliverEvents(exchange, events)) {
+      return;
+    }
+  }
+  if (attempt.events.pending_bytes() > limits_.max_event_bytes) {
+    MoveAttempt(exchange, "event too large");
+    return;
+  }
+  HoldWithinBudget(exchange);
+}
+
+void Forwarder::HoldWithinBudget(Exchange* exchange) {
+  const EndpointAttempt& attempt = *exchange->attempt;
+  buffers_.Set(static_cast<std::uint64_t>(exchange->caller),
+               attempt.body.size() + attempt.events.pending_bytes() +
+                   exchange->failure_body.size() +
+                   server_->UnsentBytes(exchange->caller),
+               attempt.head.headers.Find("Content-Length") != nullptr);
+  while (std::optional<BufferBudget::Key> excess = buffers_.FindExcess()) {
+    Exchange* largest = Find(ConnectionId{*excess});
+    if (largest == nullptr) {
+      buffers_.Remove(*excess);
+    } else {
+      BreakOffExcess(largest);
+    }
+  }
+}
+
+void Forwarder::BreakOffExcess(Exchange* exchange) {
+  exchange->failure_head.reset();
+  exchange->failure_body.clear();
+  if (server_->UnsentBytes(exchange->caller) > 0) {
+    exchange->failure_detail = "caller reads too slowly";
+    server_->AbortResponse(exchange->caller);
+    Finish(exchange, 0, "caller_slow");
+  } else if (exchange->attempt.has_value()) {
+    MoveAttempt(exchange, "response too large");
+  } else {
+    buffers_.Remove(static_cast<std::uint64_t>(exchange->caller));
   }
 }
 
@@ -175,8 +239,9 @@
   exchange->latest_delivery_at = now;
 }
 
-void Forwarder::DeliverEvents(Exchange* exchange, const std::string& events) {
+bool Forwarder::DeliverEvents(Exchange* exchange, const std::string& events) {
   std::string out;
+  bool advances = false;
   std::string_view rest = events;
   while (!rest.empty()) {
     std::string_view event = TakeEvent(&rest);
@@ -189,6 +254,10 @@
       exchange->last_event_id = id;
     }
     out.append(event);
+    advances = advances || AdvancesStream(event);
+  }
+  if (advances) {
+    exchange->attempt->progress_at = transport_->Now();
   }
   BeginResponse(exchange);
   RecordDelivery(exchange);
@@ -197,7 +266,9 @@
     exchange->failure_detail = "caller reads too slowly";
     server_->AbortResponse(exchange->caller);
     Finish(exchange, 0, "caller_slow");
+    return false;
   }
+  return true;
 }
 
 void Forwarder::OnComplete(CallId call) {
@@ -205,11 +276,7 @@
   if (exchange == nullptr) {
     return;
   }
-  const EndpointAttempt& attempt = *exchange->attempt;
-  bool succeeded = IsSuccess(attempt.head.status) &&
-                   attempt.response_metadata.sealed &&
-                   !attempt.response_metadata.encoded;
-  if (!succeeded) {
+  if (!IsGenuineSuccess(*exchange->attempt)) {
     CompleteFailure(exchange);
   } else if (exchange->route->kind == RouteKind::kStreaming) {
     CompleteStream(exchange);
@@ -259,9 +326,8 @@
     return;
   }
   ++exchange->runs;
-  if (!attempt.response_metadata.sealed || attempt.response_metadata.encoded ||
-      IsSuccess(status)) {
-    exchange->failure_detail += " without seal";
+  if (!IsGenuine(attempt) || IsSuccess(status)) {
+    exchange->failure_detail += " without seal or id";
     EndAttempt(exchange, AttemptResult::kBroken);
     Repeat(exchange, "unsealed");
     return;
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -241,6 +241,8 @@
             exchange->failure_detail.empty() ? "-" : exchange->failure_detail));
   }
   exchange->attempt.reset();
+  buffers_.Set(static_cast<std::uint64_t>(exchange->caller),
+               exchange->failure_body.size(), true);
 }
 
 bool Forwarder::MayRepeat(const Exchange& exchange) const {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -13,9 +13,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTickInterval{100};
-// An instance whose member row has not changed for this long is considered
-// dead.
-constexpr milliseconds kMemberTimeout{9000};
 // After joining, an instance sends nothing to cold endpoints until the others
 // include it in their share of the cold limit.
 constexpr milliseconds kColdJoinDelay{3500};
@@ -37,6 +34,8 @@
 constexpr milliseconds kMinShutdownTime{3300};
 // The process exits this long before it would be killed.
 constexpr milliseconds kShutdownMargin{500};
+constexpr std::size_t kBytesPerKilobyte = 1024;
+constexpr std::size_t kBytesPerMegabyte = kBytesPerKilobyte * 1024;
 
 milliseconds Seconds(double seconds) {
   return milliseconds(static_cast<std::int64_t>(seconds * 1000));
@@ -51,6 +50,10 @@
   forwarder_limits.repeats.ratio = settings.repeat_ratio;
   forwarder_limits.repeats.window = Seconds(settings.repeat_window_s);
   forwarder_limits.repeats.allowance = settings.repeat_allowance;
+  forwarder_limits.max_buffered_bytes =
+      settings.response_buffer_mb * kBytesPerMegabyte;
+  forwarder_limits.max_event_bytes =
+      settings.event_buffer_kb * kBytesPerKilobyte;
   forwarder_limits.cold.overshoot = settings.cold_overshoot;
   forwarder_limits.cold.tolerance = settings.cold_tolerance;
   return forwarder_limits;
@@ -112,7 +115,13 @@
                       forwarder_,
                       *transport,
                       [this] { return IsReady(); }),
-      peer_service_(view_, source_, operator_pages_, *transport, metrics),
+      peer_service_(view_,
+                    source_,
+                    operator_pages_,
+                    *transport,
+                    &peer_rows_,
+                    log,
+                    metrics),
       peer_server_(transport, &peer_service_),
       writer_(settings.store_address,
               transport,
@@ -125,8 +134,7 @@
                 {settings.rollout_share, settings.rollout_tolerance},
                 &forwarder_,
                 &writer_,
-                log),
-      heartbeat_interval_(settings.heartbeat_interval) {
+                log) {
   forwarder_.SetServer(&caller_server_);
   readiness_handler_.SetServer(&readiness_server_);
   peer_service_.SetServer(&peer_server_);
@@ -152,14 +160,12 @@
   TimePoint now = transport_->Now();
   view_.ExpireLapsed(now);
   forwarder_.versions().Expire(now);
-  std::vector<LiveInstance> live = LiveInstances(now);
+  std::vector<LiveInstance> live =
+      LiveInstances(view_, {settings_.instance, settings_.peer_listen});
   UpdateSharedLimits(static_cast<int>(live.size()), now);
   rollouts_.Step(source_.StoreTime(), now);
-  UpdateHeartbeatInterval();
+  SendHeartbeat(now);
   source_.Step(live, rollouts_.InProgress());
-  if (now >= next_heartbeat_) {
-    WriteHeartbeat();
-  }
   UpdateMetrics(now);
   if (!was_ready_ && IsReady()) {
     was_ready_ = true;
@@ -176,19 +182,31 @@
 
 // Member rows carry rollout evidence and kept sessions, so they are written
 // more often during a rollout.
-void Gateway::UpdateHeartbeatInterval() {
-  heartbeat_interval_ = rollouts_.InProgress()
-                            ? settings_.rollout_heartbeat_interval
-                            : settings_.heartbeat_interval;
-  next_heartbeat_ =
-      std::min(next_heartbeat_, transport_->Now() + heartbeat_interval_);
+void Gateway::SendHeartbeat(TimePoint now) {
+  if (source_.committed_beat() > relayed_beat_) {
+    relayed_beat_ = source_.committed_beat();
+    OnRowCommitted(now);
+  }
+  milliseconds interval = rollouts_.InProgress()
+                              ? settings_.rollout_heartbeat_interval
+                              : settings_.heartbeat_interval;
+  switch (heartbeats_.Next(
+      {interval, source_.has_reader(), source_.store_reachable()}, now)) {
+    case HeartbeatAction::kNone:
+      break;
+    case HeartbeatAction::kOffer:
+      heartbeats_.OnOffered(now);
+      source_.OfferRow(NextMemberRow(now));
+      break;
+    case HeartbeatAction::kWrite:
+      if (writer_.idle()) {
+        WriteMemberRows(now);
+      }
+      break;
+  }
 }
 
-void Gateway::WriteHeartbeat() {
-  next_heartbeat_ = transport_->Now() + heartbeat_interval_;
-  if (!writer_.idle()) {
-    return;
-  }
+std::string Gateway::NextMemberRow(TimePoint now) {
   MemberState state;
   state.instance = settings_.instance;
   state.peer_address = settings_.peer_listen;
@@ -197,30 +215,35 @@
   state.stable_in_flight = rollouts_.StableInFlight();
   if (!state.stable_in_flight.empty()) {
     state.evidence = forwarder_.evidence();
-    state.kept_sessions = rollouts_.KeptSessions(transport_->Now());
+    state.kept_sessions = rollouts_.KeptSessions(now);
   }
+  return EncodeMemberState(state);
+}
+
+void Gateway::WriteMemberRows(TimePoint now) {
+  heartbeats_.OnWriteStarted(now);
+  MemberRowCollector::Batch batch = peer_rows_.Take(now);
   StoreTransaction transaction;
+  transaction.puts = batch.rows;
   transaction.puts.push_back(
       {std::string(kMemberKeyPrefix) + settings_.instance.value(),
-       EncodeMemberState(state), 0, false});
-  writer_.Submit(std::move(transaction), [this](StoreWriteResult result) {
-    if (result == StoreWriteResult::kCommitted && !joined_at_.has_value()) {
-      joined_at_ = transport_->Now();
-    }
-  });
+       NextMemberRow(now), 0, false});
+  writer_.Submit(std::move(transaction),
+                 [this, batch = std::move(batch)](StoreWriteResult result) {
+                   if (result == StoreWriteResult::kCommitted) {
+                     peer_rows_.OnCommitted(batch);
+                     OnRowCommitted(transport_->Now());
+                   } else {
+                     heartbeats_.OnWriteFailed();
+                   }
+                 });
 }
 
-std::vector<LiveInstance> Gateway::LiveInstances(TimePoint now) const {
-  // No row can change while the table is not read, so that time does not count.
-  auto table_age = now - view_.confirmed_at(StoreTable::kInstances);
-  std::vector<LiveInstance> live{{settings_.instance, settings_.peer_listen}};
-  for (const auto& [instance, member] : view_.members()) {
-    if (instance != settings_.instance &&
-        now - member.changed_at < kMemberTimeout + table_age) {
-      live.push_back({instance, member.state.peer_address});
-    }
+void Gateway::OnRowCommitted(TimePoint now) {
+  heartbeats_.OnCommitted(now);
+  if (!joined_at_.has_value()) {
+    joined_at_ = now;
   }
-  return live;
 }
 
 void Gateway::UpdateSharedLimits(int instance_count, TimePoint now) {
@@ -267,7 +290,8 @@
   if (elapsed >= kRefuseDelay) {
     forwarder_.RefuseNewRequests();
   }
-  bool idle = forwarder_.in_progress() == 0;
+  bool idle =
+      forwarder_.in_progress() == 0 && !caller_server_.AwaitsFirstRequest();
   if (elapsed >= limit || (idle && elapsed >= kMinShutdownTime)) {
     log_->Write(EventId::kGatewayStopped,
                 fmt::format("in_progress={}", forwarder_.in_progress()));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -74,10 +74,13 @@
   };
 
   void Tick();
-  void UpdateHeartbeatInterval();
-  void WriteHeartbeat();
-  // All live instances, including this one.
-  std::vector<LiveInstance> LiveInstances(TimePoint now) const;
+  // Writes this instance's member row to the store, or passes it to the reader
+  // that writes it.
+  void SendHeartbeat(TimePoint now);
+  std::string NextMemberRow(TimePoint now);
+  void WriteMemberRows(TimePoint now);
+  // The store has committed this instance's row.
+  void OnRowCommitted(TimePoint now);
   void UpdateSharedLimits(int instance_count, TimePoint now);
   void UpdateMetrics(TimePoint now);
   void CheckShutdown();
@@ -96,14 +99,17 @@
   HttpClient peer_client_;
   ViewSource source_;
   OperatorPages operator_pages_;
+  // Rows of the instances that read this one's view.
+  MemberRowCollector peer_rows_;
   PeerService peer_service_;
   CallerServer peer_server_;
   StoreWriter writer_;
   RolloutControl rollouts_;
 
+  HeartbeatSchedule heartbeats_;
   std::uint64_t heartbeat_count_ = 0;
-  std::chrono::milliseconds heartbeat_interval_;
-  TimePoint next_heartbeat_{};
+  // Latest heartbeat that a reader has committed for this instance.
+  std::uint64_t relayed_beat_ = 0;
   // When this instance's member row was first committed to the store.
   std::optional<TimePoint> joined_at_;
   int instance_count_ = 1;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -103,6 +103,14 @@
                     &S::rollout_heartbeat_interval, kOptional,
                     {milliseconds(100), minutes(1)},
                     "heartbeat_interval during a rollout."),
+      IntegerField("response_buffer_mb", &S::response_buffer_mb, kOptional,
+                   ValueRange<std::size_t>{1, 65536}, "MB",
+                   "Memory for all responses that are held until their rest "
+                   "arrives or their callers read; beyond it, the largest is "
+                   "broken off."),
+      IntegerField("event_buffer_kb", &S::event_buffer_kb, kOptional,
+                   ValueRange<std::size_t>{1, 1048576}, "KB",
+                   "Maximum size of one event of a stream."),
       SeverityField(&S::log_severity,
                     "Minimum severity of the events on standard output."),
       IntegerField("log_buffer_lines", &S::log_buffer_lines, kOptional,
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -55,6 +55,10 @@
   std::chrono::milliseconds heartbeat_interval{3000};
   std::chrono::milliseconds rollout_instance_poll_interval{500};
   std::chrono::milliseconds rollout_heartbeat_interval{1000};
+  // Bytes of responses held for their rest or for slow callers, in all, and of
+  // one incomplete event of a stream.
+  std::size_t response_buffer_mb = 64;
+  std::size_t event_buffer_kb = 1024;
   Severity log_severity = Severity::kInfo;
   std::size_t log_buffer_lines = 20000;
 };
--- a/src/gateway/http_client.cc
+++ b/src/gateway/http_client.cc
@@ -17,6 +17,8 @@
 constexpr milliseconds kDefaultPeerIdleLimit{4000};
 // Maximum responses to other requests that are skipped before ours.
 constexpr int kMaxSkippedResponses = 3;
+// Maximum interim responses (1xx) before a final one.
+constexpr int kMaxInterimResponses = 16;
 
 std::uint64_t Number(ConnectionId id) {
   return static_cast<std::uint64_t>(id);
@@ -43,11 +45,15 @@
 
 }  // namespace
 
-HttpClient::Connection::Connection()
-    : parser(HttpMessageParser::Kind::kResponse, HttpParseLimits()) {}
+HttpClient::Connection::Connection(HttpParseLimits limits)
+    : parser(HttpMessageParser::Kind::kResponse, limits) {}
 
-HttpClient::HttpClient(Transport* transport, milliseconds connect_timeout)
-    : transport_(transport), connect_timeout_(connect_timeout) {}
+HttpClient::HttpClient(Transport* transport,
+                       milliseconds connect_timeout,
+                       HttpParseLimits limits)
+    : transport_(transport),
+      connect_timeout_(connect_timeout),
+      limits_(limits) {}
 
 HttpClient::Connection* HttpClient::Find(ConnectionId id) {
   auto found = connections_.find(Number(id));
@@ -89,7 +95,7 @@
   if (id == ConnectionId{}) {
     id = transport_->Connect(address, connect_timeout_, this);
     ++connections_opened_;
-    connections_.emplace(Number(id), std::make_unique<Connection>());
+    connections_.emplace(Number(id), std::make_unique<Connection>(limits_));
     Find(id)->address = address;
   }
   Connection* connection = Find(id);
@@ -98,6 +104,8 @@
   connection->head_reported = false;
   connection->skipping = false;
   connection->skipped = 0;
+  connection->interim = 0;
+  connection->last = false;
   connection->parser.Reset();
   calls_[Number(call)] = id;
   if (connection->connected) {
@@ -193,10 +201,22 @@
       FinishMessage(id, connection, !data.empty());
       return;
     }
-    connection->parser.Reset();
-    connection->skipping = false;
-    connection->head_reported = false;
+    if (!PassOver(id, connection)) {
+      return;
+    }
+  }
+}
+
+bool HttpClient::PassOver(ConnectionId id, Connection* connection) {
+  connection->interim += connection->parser.interim() ? 1 : 0;
+  if (connection->interim > kMaxInterimResponses) {
+    Fail(id, CallFailure::kBroken, "too many interim answers");
+    return false;
   }
+  connection->parser.Reset();
+  connection->skipping = false;
+  connection->head_reported = false;
+  return true;
 }
 
 bool HttpClient::ReportHead(ConnectionId id, Connection* connection) {
@@ -211,6 +231,7 @@
   if (connection == nullptr || connection->call != call) {
     return false;
   }
+  connection->last = decision == HeadDecision::kAcceptLast;
   if (decision == HeadDecision::kSkip) {
     connection->skipping = true;
     if (++connection->skipped > kMaxSkippedResponses ||
@@ -232,8 +253,8 @@
   connection->listener = nullptr;
   // After a response that precedes the end of the request, the rest of the body
   // would be sent where the peer expects the next request.
-  bool reusable = connection->parser.keep_alive() && !extra_bytes &&
-                  transport_->UnsentBytes(id) == 0;
+  bool reusable = connection->parser.keep_alive() && !connection->last &&
+                  !extra_bytes && transport_->UnsentBytes(id) == 0;
   if (reusable) {
     connection->idle_since = transport_->Now();
     connection->peer_idle_limit =
--- a/src/gateway/http_client.h
+++ b/src/gateway/http_client.h
@@ -28,6 +28,9 @@
 
 enum class HeadDecision {
   kAccept,
+  // As kAccept, but the connection is not reused: a second copy of this
+  // response could not be told apart from the response to a later request.
+  kAcceptLast,
   // The response belongs to another request and is skipped.
   kSkip,
 };
@@ -46,7 +49,10 @@
 
 class HttpClient : public ConnectionListener {
  public:
-  HttpClient(Transport* transport, std::chrono::milliseconds connect_timeout);
+  // `limits` apply to each response.
+  HttpClient(Transport* transport,
+             std::chrono::milliseconds connect_timeout,
+             HttpParseLimits limits = HttpParseLimits());
 
   // `address` is "ip:port". An open connection is reused if it has been idle
   // for at most `max_idle`.
@@ -68,7 +74,7 @@
 
  private:
   struct Connection {
-    Connection();
+    explicit Connection(HttpParseLimits limits);
     std::string address;
     HttpMessageParser parser;
     // Request to send once connected.
@@ -78,6 +84,10 @@
     bool head_reported = false;
     bool skipping = false;
     int skipped = 0;
+    // Interim responses to the current request.
+    int interim = 0;
+    // The connection ends with the current response.
+    bool last = false;
     // CallId{} while idle.
     CallId call{};
     CallListener* listener = nullptr;
@@ -90,6 +100,9 @@
   ConnectionId TakeIdle(const std::string& address,
                         std::chrono::milliseconds max_idle);
   void Parse(ConnectionId id, std::string_view data);
+  // Prepares for the next response after an interim or a foreign one. Returns
+  // false if the call has failed.
+  bool PassOver(ConnectionId id, Connection* connection);
   bool ReportHead(ConnectionId id, Connection* connection);
   void FinishMessage(ConnectionId id, Connection* connection, bool extra_bytes);
   void Fail(ConnectionId id, CallFailure failure, std::string_view detail);
@@ -97,6 +110,7 @@
 
   Transport* const transport_;
   const std::chrono::milliseconds connect_timeout_;
+  const HttpParseLimits limits_;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   // Idle connections by address, most recently used last. May contain ids of
   // closed connections.
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -66,7 +66,7 @@
   }
   json message =
       json::array({view.source.reads_store, EncodeTime(view.source.store_time),
-                   std::move(tables)});
+                   std::move(tables), view.committed_beat});
   std::vector<std::uint8_t> bytes = json::to_msgpack(message);
   return std::string(bytes.begin(), bytes.end());
 }
@@ -94,6 +94,11 @@
       }
       view.tables.push_back(std::move(table));
     }
+    // Instances of earlier versions do not write rows for others.
+    constexpr std::size_t kCommittedBeat = 3;
+    if (message.size() > kCommittedBeat) {
+      view.committed_beat = message.at(kCommittedBeat).get<std::uint64_t>();
+    }
     return view;
   } catch (const json::exception& error) {
     throw FindingsError({{"peer", "", 0, 0, error.what()}});
@@ -104,21 +109,25 @@
                          const PeerSourceProvider& source,
                          const OperatorPages& pages,
                          const Transport& transport,
+                         MemberRowCollector* rows,
+                         EventLog* log,
                          GatewayMetrics* metrics)
     : view_(view),
       source_(source),
       pages_(pages),
       transport_(transport),
+      rows_(rows),
+      log_(log),
       metrics_(metrics) {}
 
 void PeerService::OnRequest(ConnectionId caller,
                             HttpRequestHead head,
-                            std::string /*body*/) {
+                            std::string row) {
   HttpResponseHead response{200, "OK", {}};
   std::string body;
   if (head.target.compare(0, kViewPath.size(), kViewPath) == 0) {
     response.headers.Add("Content-Type", "application/msgpack");
-    body = EncodeViewFor(head.target);
+    body = EncodeViewFor(head.target, CollectRow(caller, row));
   } else if (head.target == kMetricsPath) {
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
     body = metrics_->Serialize();
@@ -131,10 +140,29 @@
   server_->Respond(caller, std::move(response), body);
 }
 
-std::string PeerService::EncodeViewFor(const std::string& target) const {
+// A row that cannot be written is reported here and not to its sender, which
+// writes it itself when no commit is reported.
+std::uint64_t PeerService::CollectRow(ConnectionId caller,
+                                      const std::string& row) {
+  auto connection = static_cast<std::uint64_t>(caller);
+  rows_->Confirm(connection);
+  if (row.empty()) {
+    return 0;
+  }
+  try {
+    return rows_->Add(connection, row, transport_.Now());
+  } catch (const FindingsError& error) {
+    log_->Write(EventId::kPeerRowRejected, error.what());
+    return 0;
+  }
+}
+
+std::string PeerService::EncodeViewFor(const std::string& target,
+                                       std::uint64_t committed_beat) const {
   std::array<std::int64_t, kStoreTableCount> known = KnownVersions(target);
   PeerView view;
   view.source = source_.Source();
+  view.committed_beat = committed_beat;
   for (int i = 0; i < kStoreTableCount; ++i) {
     auto table = static_cast<StoreTable>(i);
     if (view_.confirmed_at(table) != TimePoint()) {
@@ -159,19 +187,23 @@
                        PeerReaderListener* listener)
     : transport_(transport), client_(client), listener_(listener) {}
 
-void PeerReader::Read(const std::string& address) {
+void PeerReader::Read(const std::string& address, const std::string& row) {
   address_ = address;
   status_ = 0;
   body_.clear();
   HttpRequestHead head;
-  head.method = "GET";
+  head.method = row.empty() ? "GET" : "POST";
   head.target = std::string(kViewPath);
   for (int i = 0; i < kStoreTableCount; ++i) {
     head.target +=
         fmt::format("/{}", listener_->KnownVersion(static_cast<StoreTable>(i)));
   }
   head.headers.Add("Host", address);
-  call_ = client_->Start(address, SerializeRequestHead(head), kMaxIdle, this);
+  if (!row.empty()) {
+    head.headers.Add("Content-Length", fmt::format("{}", row.size()));
+  }
+  call_ =
+      client_->Start(address, SerializeRequestHead(head) + row, kMaxIdle, this);
   timeout_ = transport_->After(kReadTimeout, [this] {
     client_->Cancel(call_);
     Fail("timeout");
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -36,6 +36,9 @@
 
 struct PeerView {
   PeerSource source;
+  // Latest heartbeat in a row of the requesting process that the sender has
+  // written on its behalf; 0 if none.
+  std::uint64_t committed_beat = 0;
   // Omits tables that were never read.
   std::vector<PeerTable> tables;
 };
@@ -53,13 +56,16 @@
   virtual PeerSource Source() const = 0;
 };
 
-// Serves the view to peers, as well as operator pages and metrics.
+// Serves the view to peers, as well as operator pages and metrics. A request
+// for the view may carry the sender's member row, which goes to `rows`.
 class PeerService : public HttpRequestHandler {
  public:
   PeerService(const FleetView& view,
               const PeerSourceProvider& source,
               const OperatorPages& pages,
               const Transport& transport,
+              MemberRowCollector* rows,
+              EventLog* log,
               GatewayMetrics* metrics);
   void SetServer(CallerServer* server) { server_ = server; }
 
@@ -70,12 +76,17 @@
   void OnRejected(int status, std::string_view reason) override;
 
  private:
-  std::string EncodeViewFor(const std::string& target) const;
+  // Returns the latest committed heartbeat of the sender; 0 if none.
+  std::uint64_t CollectRow(ConnectionId caller, const std::string& row);
+  std::string EncodeViewFor(const std::string& target,
+                            std::uint64_t committed_beat) const;
 
   const FleetView& view_;
   const PeerSourceProvider& source_;
   const OperatorPages& pages_;
   const Transport& transport_;
+  MemberRowCollector* const rows_;
+  EventLog* const log_;
   GatewayMetrics* const metrics_;
   CallerServer* server_ = nullptr;
 };
@@ -100,8 +111,9 @@
   PeerReader& operator=(const PeerReader&) = delete;
 
   bool busy() const { return call_ != CallId{}; }
-  // `address` is "ip:port". Must not be busy.
-  void Read(const std::string& address);
+  // `address` is "ip:port". `row`: this instance's member row, for the peer to
+  // write; empty if none. Must not be busy.
+  void Read(const std::string& address, const std::string& row);
 
   HeadDecision OnHead(CallId call, const HttpResponseHead& head) override;
   void OnBody(CallId call, std::string_view data) override;
--- a/src/gateway/view_source.cc
+++ b/src/gateway/view_source.cc
@@ -133,14 +133,16 @@
   if (reader_.has_value()) {
     if (now >= next_read_) {
       next_read_ = now + kPeerReadInterval;
-      peer_reader_.Read(reader_->peer_address);
+      peer_reader_.Read(reader_->peer_address,
+                        std::exchange(offered_row_, std::string()));
     }
     return;
   }
   if (IsStale()) {
     std::vector<std::string> addresses = PeerAddresses();
     if (!addresses.empty()) {
-      peer_reader_.Read(addresses[next_peer_++ % addresses.size()]);
+      peer_reader_.Read(addresses[next_peer_++ % addresses.size()],
+                        std::string());
     }
   }
 }
@@ -250,6 +252,7 @@
   TimePoint now = transport_->Now();
   bool from_reader = reader_.has_value() && reader_->peer_address == address;
   if (from_reader) {
+    committed_beat_ = std::max(committed_beat_, view.committed_beat);
     std::string unfit_reason = UnfitReason(view);
     if (!unfit_reason.empty()) {
       // Records may have expired only in that peer's view; read the store.
--- a/src/gateway/view_source.h
+++ b/src/gateway/view_source.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/gateway/gateway_settings.h"
@@ -39,6 +40,14 @@
 
   // Name of the instance whose view is read, or "store".
   std::string SourceName() const;
+  bool has_reader() const { return reader_.has_value(); }
+  // The latest call to the store for changes succeeded.
+  bool store_reachable() const { return store_reachable_; }
+  // Passes the row to the reader with the next read of its view.
+  void OfferRow(std::string row) { offered_row_ = std::move(row); }
+  // Latest heartbeat of this process that a reader has reported as committed;
+  // 0 if none.
+  std::uint64_t committed_beat() const { return committed_beat_; }
   // All live instances as of the latest step.
   const std::vector<LiveInstance>& live() const { return live_; }
 
@@ -77,6 +86,9 @@
   std::vector<LiveInstance> live_;
   // The instance whose view is read instead of the store.
   std::optional<LiveInstance> reader_;
+  // Member row for the reader; empty if none is due.
+  std::string offered_row_;
+  std::uint64_t committed_beat_ = 0;
   TimePoint next_read_{};
   std::size_t next_peer_ = 0;
   // Store clock minus local clock.
--- a/src/http1/event_splitter.h
+++ b/src/http1/event_splitter.h
@@ -17,6 +17,8 @@
   std::string Add(std::string_view bytes);
   // Returns the bytes after the last complete event.
   std::string TakeRest();
+  // Size of the incomplete event.
+  std::size_t pending_bytes() const { return pending_.size(); }
 
  private:
   // Finds the end of the last event in pending_ from scanned_ on.
--- a/src/http1/stream_event.cc
+++ b/src/http1/stream_event.cc
@@ -3,26 +3,41 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdint>
+#include <optional>
 
 namespace filbertshift {
 
-std::string EventIdOf(std::string_view event) {
-  constexpr std::string_view kField = "id:";
+namespace {
+
+// Value of the first line that starts with `field`; not set if there is none.
+std::optional<std::string_view> FindField(std::string_view event,
+                                          std::string_view field) {
   std::size_t at = 0;
   while (at < event.size()) {
     std::size_t end = event.find_first_of("\r\n", at);
     std::string_view line = event.substr(at, end - at);
-    if (line.substr(0, kField.size()) == kField) {
-      line.remove_prefix(kField.size());
+    if (line.substr(0, field.size()) == field) {
+      line.remove_prefix(field.size());
       line.remove_prefix(!line.empty() && line.front() == ' ' ? 1 : 0);
-      return std::string(line);
+      return line;
     }
     if (end == std::string_view::npos) {
       break;
     }
     at = end + 1;
   }
-  return std::string();
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string EventIdOf(std::string_view event) {
+  return std::string(FindField(event, "id:").value_or(std::string_view()));
+}
+
+bool AdvancesStream(std::string_view event) {
+  return FindField(event, "data:").has_value() ||
+         FindField(event, "id:").has_value();
 }
 
 bool IsNotAfter(const std::string& id, const std::string& last) {
--- a/tests/unit/fleet/fleet_view_test.cc
+++ b/tests/unit/fleet/fleet_view_test.cc
@@ -258,5 +258,36 @@
   }
 }
 
+// Guards against a suspended writer that puts an earlier row of an instance
+// after a newer one: an instance that has ended would count as live again, and
+// its rollout evidence would shrink.
+TEST_CASE("an earlier heartbeat does not replace a later one", "[fleet]") {
+  Fixture f;
+  auto put = [&f](std::uint64_t incarnation, std::uint64_t beat,
+                  std::int64_t version) {
+    MemberState state;
+    state.instance = InstanceId("i");
+    state.peer_address = "10.0.0.1:1";
+    state.incarnation = incarnation;
+    state.beat = beat;
+    f.Put(StoreTable::kInstances, "instance/i", EncodeMemberState(state),
+          version);
+  };
+  put(1, 8, 10);
+  milliseconds seen = f.view.member_time();
+  f.now += milliseconds(2000);
+  put(1, 7, 11);
+  put(1, 8, 12);
+  CHECK(f.view.member_time() > seen);
+  CHECK(f.view.members().at(InstanceId("i")).state.beat == 8);
+  CHECK(f.view.members().at(InstanceId("i")).changed_after == seen);
+  CHECK(LiveInstances(f.view, {InstanceId("self"), ""}).size() == 2);
+  // A new process counts from 1 again.
+  put(2, 1, 13);
+  CHECK(f.view.members().at(InstanceId("i")).state.incarnation == 2);
+  CHECK(f.view.members().at(InstanceId("i")).changed_after ==
+        f.view.member_time());
+}
+
 }  // namespace
 }  // namespace filbertshift
--- a/tests/unit/gateway/stand_ins.cc
+++ b/tests/unit/gateway/stand_ins.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -74,6 +75,12 @@
   history_from_ = ++version_;
 }
 
+std::size_t StandInStore::CountWaiting(const std::string& table) const {
+  return static_cast<std::size_t>(
+      std::count_if(waiting_.begin(), waiting_.end(),
+                    [&table](const Waiting& w) { return w.table == table; }));
+}
+
 bool StandInStore::Has(const std::string& table, const std::string& key) const {
   auto found = tables_.find(table);
   if (found == tables_.end()) {
@@ -128,6 +135,7 @@
 void StandInStore::OnRequest(ConnectionId caller,
                              HttpRequestHead head,
                              std::string body) {
+  reads_ += head.target == "/rows-tx" ? 0 : 1;
   if (busy_) {
     Reply(caller, 503, "{}");
   } else if (head.target == "/rows-tx") {
@@ -135,7 +143,8 @@
   } else if (head.target.rfind("/rows-get?", 0) == 0) {
     Reply(caller, 200, RowsBody(QueryParameter(head.target, "table"), 0));
   } else {
-    Waiting waiting{caller, QueryParameter(head.target, "table"),
+    Waiting waiting{++last_waiting_, caller,
+                    QueryParameter(head.target, "table"),
                     ParseInteger(QueryParameter(head.target, "after"))};
     if (waiting.after < history_from_) {
       Reply(caller, 410, "{}");
@@ -148,7 +157,7 @@
     milliseconds wait(ParseInteger(QueryParameter(head.target, "wait_ms")));
     transport_->After(wait, [this, waiting] {
       for (std::size_t i = 0; i < waiting_.size(); ++i) {
-        if (waiting_[i].caller == waiting.caller) {
+        if (waiting_[i].number == waiting.number) {
           waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(i));
           RespondWithChanges(waiting, true);
           return;
@@ -179,6 +188,7 @@
 }
 
 void StandInStore::Transact(ConnectionId caller, const std::string& body) {
+  ++transactions_;
   json message = json::parse(body);
   for (const json& expected : message.at("expect")) {
     std::map<std::string, Row>& table = tables_[expected.at("table")];
--- a/tests/unit/gateway/stand_ins.h
+++ b/tests/unit/gateway/stand_ins.h
@@ -27,7 +27,12 @@
   void ForgetHistory();
   // While true, every request gets status 503.
   void SetBusy(bool busy) { busy_ = busy; }
+  // Number of requests that wait for changes of the table.
+  std::size_t CountWaiting(const std::string& table) const;
   bool Has(const std::string& table, const std::string& key) const;
+  // Number of transactions and of other calls received.
+  int transactions() const { return transactions_; }
+  int reads() const { return reads_; }
   std::string Value(const std::string& table, const std::string& key) const;
 
   void OnRequest(ConnectionId caller,
@@ -43,6 +48,8 @@
     bool removed = false;
   };
   struct Waiting {
+    // Tells this request apart from later ones of the same connection.
+    std::uint64_t number;
     ConnectionId caller;
     std::string table;
     std::int64_t after;
@@ -58,10 +65,13 @@
   CallerServer server_;
   std::map<std::string, std::map<std::string, Row>> tables_;
   std::vector<Waiting> waiting_;
+  std::uint64_t last_waiting_ = 0;
   std::int64_t version_ = 0;
   // Requests for changes after an older version get status 410.
   std::int64_t history_from_ = 0;
   bool busy_ = false;
+  int transactions_ = 0;
+  int reads_ = 0;
 };
 
 // Answers each request with a sealed response; streams three events on /stream/
--- a/tests/unit/gateway/whole_path_test.cc
+++ b/tests/unit/gateway/whole_path_test.cc
@@ -206,6 +206,8 @@
            site.store.Has("filbertshift", "instance/i1");
   }));
   site.RunUntil([] { return false; }, milliseconds(1500));
+  // An instance reads the change before the store fails.
+  REQUIRE(site.RunUntil([&site] { return site.store.CountWaiting("op") > 0; }));
   std::string changed = kConfiguration;
   changed.replace(changed.find("\"version\":1"), 11, "\"version\":2");
   changed.replace(changed.find("\"k1\","), 5, "");
