Keep the calls to the store low in outages, and spread requests over endpoints

An instance whose reader was outdated for a moment (its long wait from the time before it became a reader, or an outage of the store) read the store for 12 s; in an outage all instances pressed on three tables every 0.8 s and wrote every second. Members that the store turned away were dropped by the others (18 to 13 for 0.4 s).

An outdated reader is avoided for 4 s instead of 12 s, and another reader takes its place; retries slow down where others read the store, most in a large fleet; an instance that the store turns away passes its row to a peer that is served; a reader writes the first row of a new member at once. Requests without a prompt are spread by their ids.

--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -35,8 +35,8 @@
   std::function<bool(const VersionId&)> allows_version;
   // Empty: any endpoint of the service.
   ModelId model;
-  // Hash of the shared prompt prefix. All instances prefer the same endpoints
-  // for the same hash. 0: no affinity.
+  // Hash of the shared prompt prefix, or of the request if it has none. All
+  // instances prefer the same endpoints for the same hash. 0: no affinity.
   std::uint64_t affinity = 0;
   WorkEstimate work;
   // Restricts the choice to a subset of this size, which is the same on every
--- a/src/fleet/heartbeat_schedule.h
+++ b/src/fleet/heartbeat_schedule.h
@@ -22,9 +22,11 @@
 struct HeartbeatInputs {
   // Time between commits of the row.
   std::chrono::milliseconds interval{0};
-  // Another instance reads the store for this one.
+  // A reader of the store takes the row.
   bool has_reader = false;
   bool store_reachable = true;
+  // Rows of other instances, which this one writes with its own, are overdue.
+  bool peer_rows_overdue = false;
 };
 
 // An instance whose reader does not commit its row in time writes it itself.
--- a/src/fleet/member_row_collector.cc
+++ b/src/fleet/member_row_collector.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <utility>
@@ -95,11 +96,20 @@
   return batch;
 }
 
-void MemberRowCollector::OnCommitted(const Batch& batch) {
+bool MemberRowCollector::IsOverdue(milliseconds age, TimePoint now) const {
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
+    const Entry& entry = item.second;
+    return !entry.confirmed.empty() && now - entry.committed_at > age &&
+           now - entry.confirmed_at <= kMaxRowAge;
+  });
+}
+
+void MemberRowCollector::OnCommitted(const Batch& batch, TimePoint now) {
   for (const auto& [instance, beat] : batch.beats) {
     auto found = entries_.find(instance);
     if (found != entries_.end()) {
       found->second.committed = beat;
+      found->second.committed_at = now;
     }
   }
 }
--- a/src/fleet/member_row_collector.h
+++ b/src/fleet/member_row_collector.h
@@ -5,6 +5,7 @@
 #ifndef SRC_FLEET_MEMBER_ROW_COLLECTOR_H_
 #define SRC_FLEET_MEMBER_ROW_COLLECTOR_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -44,7 +45,10 @@
   // fit into a transaction beside this instance's own row.
   Batch Take(TimePoint now);
   // The store has committed the rows of the batch.
-  void OnCommitted(const Batch& batch);
+  void OnCommitted(const Batch& batch, TimePoint now);
+  // Whether it holds a row of an instance for which it has committed none for
+  // this long, for example because the instance has just come to this reader.
+  bool IsOverdue(std::chrono::milliseconds age, TimePoint now) const;
 
  private:
   struct Entry {
@@ -58,6 +62,7 @@
     Beat confirmed_beat;
     TimePoint confirmed_at{};
     Beat committed;
+    TimePoint committed_at{};
   };
 
   std::map<InstanceId, Entry> entries_;
--- a/src/fleet/reader_selector.cc
+++ b/src/fleet/reader_selector.cc
@@ -20,6 +20,10 @@
 // instance is still listed as live for some seconds.
 constexpr milliseconds kStoreFallbackTime{3000};
 constexpr milliseconds kReaderAvoidTime{12000};
+// The same for a reader with an outdated view, for example because the store
+// turns it away. It is live and may soon be current again.
+constexpr milliseconds kOutdatedFallbackTime{1500};
+constexpr milliseconds kOutdatedAvoidTime{4000};
 
 std::uint64_t Hash(const InstanceId& instance) {
   return XXH64(instance.value().data(), instance.value().size(), 0);
@@ -50,17 +54,32 @@
       (store_fallback_until_.has_value() && now < *store_fallback_until_)) {
     return std::nullopt;
   }
-  const LiveInstance& reader = readers_[Hash(self_) % readers_.size()];
-  auto avoided = avoid_until_.find(reader.instance);
-  if (avoided != avoid_until_.end() && now < avoided->second) {
-    return std::nullopt;
+  std::size_t first = Hash(self_) % readers_.size();
+  for (std::size_t i = 0; i < readers_.size(); ++i) {
+    const LiveInstance& reader = readers_[(first + i) % readers_.size()];
+    auto avoided = avoid_until_.find(reader.instance);
+    if (avoided == avoid_until_.end() || now >= avoided->second) {
+      return reader;
+    }
   }
-  return reader;
+  return std::nullopt;
 }
 
 void ReaderSelector::OnReaderFailed(const InstanceId& instance, TimePoint now) {
-  store_fallback_until_ = now + kStoreFallbackTime;
-  avoid_until_[instance] = now + kReaderAvoidTime;
+  Avoid(instance, kStoreFallbackTime, kReaderAvoidTime, now);
+}
+
+void ReaderSelector::OnReaderOutdated(const InstanceId& instance,
+                                      TimePoint now) {
+  Avoid(instance, kOutdatedFallbackTime, kOutdatedAvoidTime, now);
+}
+
+void ReaderSelector::Avoid(const InstanceId& instance,
+                           milliseconds store_fallback_time,
+                           milliseconds avoid_time,
+                           TimePoint now) {
+  store_fallback_until_ = now + store_fallback_time;
+  avoid_until_[instance] = now + avoid_time;
 }
 
 }  // namespace filbertshift
--- a/src/fleet/reader_selector.h
+++ b/src/fleet/reader_selector.h
@@ -5,6 +5,7 @@
 #ifndef SRC_FLEET_READER_SELECTOR_H_
 #define SRC_FLEET_READER_SELECTOR_H_
 
+#include <chrono>
 #include <map>
 #include <optional>
 #include <string>
@@ -28,12 +29,21 @@
   void SetInstances(const std::vector<LiveInstance>& live);
   // Whether this instance reads the store for others.
   bool IsReader() const;
+  // All instances that read the store for others.
+  const std::vector<LiveInstance>& readers() const { return readers_; }
   // The reader to read from; empty: read the store directly.
   std::optional<LiveInstance> CurrentReader(TimePoint now) const;
-  // The instance did not respond, or its own view is out of date.
+  // The reader did not respond.
   void OnReaderFailed(const InstanceId& instance, TimePoint now);
+  // The reader responded, but its own view is out of date.
+  void OnReaderOutdated(const InstanceId& instance, TimePoint now);
 
  private:
+  void Avoid(const InstanceId& instance,
+             std::chrono::milliseconds store_fallback_time,
+             std::chrono::milliseconds avoid_time,
+             TimePoint now);
+
   const InstanceId self_;
   // Instances that read the store. Instances that agree on the set of live
   // instances agree on the readers.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -32,10 +32,13 @@
 }
 
 // Hash of the last part of the prompt that other requests may share; the final
-// part is specific to the request.
-std::uint64_t AffinityOf(const std::vector<PromptPart>& parts) {
+// part is specific to the request. Requests without a prompt are spread over
+// endpoints of equal load by their ids: an instance of a large fleet has no
+// other request in progress at most endpoints.
+std::uint64_t AffinityOf(const RequestMetadata& metadata) {
+  const std::vector<PromptPart>& parts = metadata.prompt_parts;
   if (parts.empty()) {
-    return 0;
+    return HashText(metadata.request_id);
   }
   std::size_t position = parts.size() >= 2 ? parts.size() - 2 : 0;
   return HashText(parts[position].id);
@@ -209,7 +212,7 @@
       transport_->After(allowed, [this, caller] { OnDeadline(caller); });
   exchange->service = SelectService(*exchange);
   const RequestMetadata& metadata = exchange->metadata;
-  exchange->affinity = AffinityOf(metadata.prompt_parts);
+  exchange->affinity = AffinityOf(metadata);
   exchange->session =
       metadata.session.empty() ? metadata.request_id : metadata.session;
   exchange->last_event_id = metadata.last_event_id;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -190,8 +190,13 @@
   milliseconds interval = rollouts_.InProgress()
                               ? settings_.rollout_heartbeat_interval
                               : settings_.heartbeat_interval;
-  switch (heartbeats_.Next(
-      {interval, source_.has_reader(), source_.store_reachable()}, now)) {
+  HeartbeatInputs inputs;
+  inputs.interval = interval;
+  inputs.has_reader = source_.CanOfferRow();
+  inputs.store_reachable = source_.store_reachable();
+  inputs.peer_rows_overdue =
+      !inputs.has_reader && peer_rows_.IsOverdue(2 * interval, now);
+  switch (heartbeats_.Next(inputs, now)) {
     case HeartbeatAction::kNone:
       break;
     case HeartbeatAction::kOffer:
@@ -231,7 +236,7 @@
   writer_.Submit(std::move(transaction),
                  [this, batch = std::move(batch)](StoreWriteResult result) {
                    if (result == StoreWriteResult::kCommitted) {
-                     peer_rows_.OnCommitted(batch);
+                     peer_rows_.OnCommitted(batch, transport_->Now());
                      OnRowCommitted(transport_->Now());
                    } else {
                      heartbeats_.OnWriteFailed();
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -16,7 +16,7 @@
 constexpr milliseconds kResponseTimeout{700};
 // Delay after a failed call, doubled for each consecutive failure.
 constexpr milliseconds kBaseRetryDelay{100};
-constexpr int kMaxRetryDoublings = 3;
+constexpr int kMaxRetryDoublings = 10;
 // Connections to the store are reused regardless of their idle time.
 constexpr milliseconds kMaxIdle{3600000};
 
@@ -190,7 +190,7 @@
   pages_.rows.clear();
   int doublings = std::min(consecutive_errors_, kMaxRetryDoublings);
   ++consecutive_errors_;
-  CallAfter(kBaseRetryDelay * (1 << doublings));
+  CallAfter(std::min(kBaseRetryDelay * (1 << doublings), max_retry_delay_));
 }
 
 void StoreFollower::CallAfter(milliseconds delay) {
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -49,6 +49,10 @@
   void Start();
   // A shorter interval also ends a wait in progress.
   void SetMinInterval(std::chrono::milliseconds interval);
+  // Maximum delay after failed calls.
+  void SetMaxRetryDelay(std::chrono::milliseconds delay) {
+    max_retry_delay_ = delay;
+  }
   void SetChangesWait(std::chrono::milliseconds wait) { changes_wait_ = wait; }
   // While paused, no new call starts; a call in progress completes.
   void SetPaused(bool paused);
@@ -72,6 +76,7 @@
   const StoreTable table_;
   std::chrono::milliseconds min_interval_;
   std::chrono::milliseconds changes_wait_;
+  std::chrono::milliseconds max_retry_delay_{800};
   const std::string store_address_;
   Transport* const transport_;
   HttpClient* const client_;
--- a/src/gateway/view_source.cc
+++ b/src/gateway/view_source.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace filbertshift {
@@ -30,6 +31,13 @@
 // Peers do not rely on this instance for this long after a store error, because
 // records may have expired in its view meanwhile.
 constexpr milliseconds kStoreErrorHoldTime{2500};
+// Maximum delay after failed calls to the store. Longer if other instances read
+// the store, and in a large fleet, so that all instances together do not press
+// on a store in trouble; the readers notice its return.
+constexpr milliseconds kMaxReaderRetryDelay{800};
+constexpr milliseconds kMaxRetryDelay{1600};
+constexpr milliseconds kMaxRetryDelayInLargeFleet{3200};
+constexpr std::size_t kLargeFleet = 64;
 
 }  // namespace
 
@@ -47,7 +55,9 @@
       view_(view),
       log_(log),
       peer_reader_(transport, peer_client, this),
-      relay_(settings.instance) {
+      relay_(settings.instance),
+      // Instances start with different peers.
+      next_peer_(std::hash<std::string>()(settings.instance.value())) {
   const std::pair<StoreTable, milliseconds> tables[] = {
       {StoreTable::kOperator, settings.operator_poll_interval},
       {StoreTable::kEndpoints, settings.endpoint_poll_interval},
@@ -108,9 +118,18 @@
       relay_.IsReader() ? kReaderChangesWaitFraction : kChangesWaitFraction);
   for (const std::unique_ptr<StoreFollower>& follower : followers_) {
     follower->SetChangesWait(wait);
+    follower->SetMaxRetryDelay(MaxRetryDelay());
   }
 }
 
+milliseconds ViewSource::MaxRetryDelay() const {
+  if (relay_.IsReader()) {
+    return kMaxReaderRetryDelay;
+  }
+  return live_.size() < kLargeFleet ? kMaxRetryDelay
+                                    : kMaxRetryDelayInLargeFleet;
+}
+
 milliseconds ViewSource::ReaderEndpointInterval() const {
   return std::min(kMaxReaderEndpointInterval, settings_.endpoint_poll_interval);
 }
@@ -138,11 +157,34 @@
     }
     return;
   }
-  if (IsStale()) {
-    std::vector<std::string> addresses = PeerAddresses();
-    if (!addresses.empty()) {
-      peer_reader_.Read(addresses[next_peer_++ % addresses.size()],
-                        std::string());
+  ReadStandbyPeer(now);
+}
+
+// The store does not serve this instance. A peer that it serves is read as long
+// as it is current, so that it can also write this instance's row.
+void ViewSource::ReadStandbyPeer(TimePoint now) {
+  if (store_reachable_) {
+    standby_peer_.clear();
+  }
+  if (!standby_peer_.empty()) {
+    if (now >= next_read_) {
+      next_read_ = now + kPeerReadInterval;
+      peer_reader_.Read(standby_peer_,
+                        std::exchange(offered_row_, std::string()));
+    }
+    return;
+  }
+  std::vector<std::string> addresses = PeerAddresses();
+  if ((!store_reachable_ || IsStale()) && !addresses.empty()) {
+    // Every other read goes to a reader, which is more likely to be current.
+    std::size_t turn = next_peer_++;
+    const std::vector<LiveInstance>& readers = relay_.readers();
+    const std::string& address =
+        turn % 2 == 0 && !readers.empty()
+            ? readers[turn / 2 % readers.size()].peer_address
+            : addresses[turn / 2 % addresses.size()];
+    if (address != settings_.peer_listen) {
+      peer_reader_.Read(address, std::string());
     }
   }
 }
@@ -244,18 +286,20 @@
 void ViewSource::AbandonReader(std::string_view reason) {
   log_->Write(EventId::kPeerViewFailed,
               fmt::format("peer={} {}", reader_->peer_address, reason));
-  relay_.OnReaderFailed(reader_->instance, transport_->Now());
   SetReader(std::nullopt);
 }
 
 void ViewSource::OnPeerView(const std::string& address, const PeerView& view) {
   TimePoint now = transport_->Now();
   bool from_reader = reader_.has_value() && reader_->peer_address == address;
+  committed_beat_ = std::max(committed_beat_, view.committed_beat);
+  std::string unfit_reason = UnfitReason(view);
+  standby_peer_ =
+      from_reader || store_reachable_ || !unfit_reason.empty() ? "" : address;
   if (from_reader) {
-    committed_beat_ = std::max(committed_beat_, view.committed_beat);
-    std::string unfit_reason = UnfitReason(view);
     if (!unfit_reason.empty()) {
       // Records may have expired only in that peer's view; read the store.
+      relay_.OnReaderOutdated(reader_->instance, now);
       AbandonReader(unfit_reason);
       return;
     }
@@ -277,7 +321,9 @@
 
 void ViewSource::OnPeerFailed(const std::string& address,
                               std::string_view detail) {
+  standby_peer_.clear();
   if (reader_.has_value() && reader_->peer_address == address) {
+    relay_.OnReaderFailed(reader_->instance, transport_->Now());
     AbandonReader(detail);
     return;
   }
--- a/src/gateway/view_source.h
+++ b/src/gateway/view_source.h
@@ -40,10 +40,13 @@
 
   // Name of the instance whose view is read, or "store".
   std::string SourceName() const;
-  bool has_reader() const { return reader_.has_value(); }
+  // Whether a peer that reads the store takes this instance's row.
+  bool CanOfferRow() const {
+    return reader_.has_value() || !standby_peer_.empty();
+  }
   // The latest call to the store for changes succeeded.
   bool store_reachable() const { return store_reachable_; }
-  // Passes the row to the reader with the next read of its view.
+  // Passes the row to that peer with the next read of its view.
   void OfferRow(std::string row) { offered_row_ = std::move(row); }
   // Latest heartbeat of this process that a reader has reported as committed;
   // 0 if none.
@@ -67,7 +70,9 @@
   void SetReader(std::optional<LiveInstance> reader);
   void UpdatePollIntervals(bool rollout);
   std::chrono::milliseconds ReaderEndpointInterval() const;
+  std::chrono::milliseconds MaxRetryDelay() const;
   void ReadPeer();
+  void ReadStandbyPeer(TimePoint now);
   bool IsStale() const;
   // Returns why the peer's view cannot replace the store; empty if it can.
   std::string UnfitReason(const PeerView& view) const;
@@ -90,7 +95,10 @@
   std::string offered_row_;
   std::uint64_t committed_beat_ = 0;
   TimePoint next_read_{};
-  std::size_t next_peer_ = 0;
+  // Address of a peer that is served by the store while this instance is not;
+  // empty if none is known.
+  std::string standby_peer_;
+  std::size_t next_peer_;
   // Store clock minus local clock.
   std::optional<std::chrono::milliseconds> store_clock_offset_;
   bool store_reachable_ = true;
--- a/tests/unit/dispatch/endpoint_pool_test.cc
+++ b/tests/unit/dispatch/endpoint_pool_test.cc
@@ -120,6 +120,32 @@
   CHECK(used.size() == 8);
 }
 
+// Guards against many instances that all send their requests to the same one of
+// several free endpoints, since each knows only of its own.
+TEST_CASE("instances spread requests over free endpoints", "[dispatch]") {
+  constexpr int kInstances = 118;
+  constexpr int kEndpoints = 3;
+  constexpr int kRequests = 20;
+  std::map<EndpointId, int> used;
+  std::uint64_t request = 0;
+  for (int i = 0; i < kInstances; ++i) {
+    EndpointPool pool({1.5, 5});
+    pool.SetInstanceCount(kInstances);
+    for (int number = 1; number <= kEndpoints; ++number) {
+      pool.Update(Endpoint(number), kStart);
+    }
+    for (int r = 0; r < kRequests; ++r) {
+      DispatchQuery query = Query();
+      query.affinity = ++request * 0x9e3779b97f4a7c15;
+      ++used[*pool.Choose(query, kStart).endpoint];
+    }
+  }
+  REQUIRE(used.size() == kEndpoints);
+  for (const auto& entry : used) {
+    CHECK(entry.second > kInstances * kRequests / kEndpoints * 8 / 10);
+  }
+}
+
 // Guards against a frequent prompt prefix that overloads one endpoint.
 TEST_CASE("load bounds the pull of a shared prompt", "[dispatch]") {
   EndpointPool pool({1.5, 5});
--- a/tests/unit/fleet/heartbeat_schedule_test.cc
+++ b/tests/unit/fleet/heartbeat_schedule_test.cc
@@ -16,12 +16,12 @@
 TEST_CASE("an instance without a reader writes its row in each interval",
           "[fleet]") {
   HeartbeatSchedule schedule;
-  CHECK(schedule.Next({kInterval, false, true}, kStart) ==
+  CHECK(schedule.Next({kInterval, false, true, false}, kStart) ==
         HeartbeatAction::kWrite);
   schedule.OnWriteStarted(kStart);
-  CHECK(schedule.Next({kInterval, false, true}, kStart + milliseconds(2900)) ==
-        HeartbeatAction::kNone);
-  CHECK(schedule.Next({kInterval, false, true}, kStart + kInterval) ==
+  CHECK(schedule.Next({kInterval, false, true, false},
+                      kStart + milliseconds(2900)) == HeartbeatAction::kNone);
+  CHECK(schedule.Next({kInterval, false, true, false}, kStart + kInterval) ==
         HeartbeatAction::kWrite);
   // A rollout shortens the interval.
   CHECK(schedule.Next({milliseconds(1000), false, true},
@@ -35,7 +35,7 @@
   int offers = 0;
   for (int ms = 0; ms < 60000; ms += 100) {
     TimePoint now = kStart + milliseconds(ms);
-    HeartbeatAction action = schedule.Next({kInterval, true, true}, now);
+    HeartbeatAction action = schedule.Next({kInterval, true, true, false}, now);
     REQUIRE(action != HeartbeatAction::kWrite);
     if (action == HeartbeatAction::kOffer) {
       schedule.OnOffered(now);
@@ -57,14 +57,14 @@
   milliseconds first_write{0};
   for (int ms = 0; ms < 9000 && first_write.count() == 0; ms += 100) {
     TimePoint now = kStart + milliseconds(ms);
-    HeartbeatAction action = schedule.Next({kInterval, true, true}, now);
+    HeartbeatAction action = schedule.Next({kInterval, true, true, false}, now);
     if (action == HeartbeatAction::kWrite) {
       first_write = milliseconds(ms);
     }
   }
   CHECK(first_write == milliseconds(5000));
   SECTION("and at once if the reader is lost after the interval") {
-    CHECK(schedule.Next({kInterval, false, true}, kStart + kInterval) ==
+    CHECK(schedule.Next({kInterval, false, true, false}, kStart + kInterval) ==
           HeartbeatAction::kWrite);
     CHECK(schedule.Next({kInterval, false, true},
                         kStart + milliseconds(2900)) == HeartbeatAction::kNone);
@@ -78,14 +78,18 @@
   schedule.OnWriteStarted(kStart);
   schedule.OnWriteFailed();
   TimePoint now = kStart + milliseconds(700);
-  CHECK(schedule.Next({kInterval, false, false}, now) ==
+  CHECK(schedule.Next({kInterval, false, false, false}, now) ==
         HeartbeatAction::kNone);
-  CHECK(schedule.Next({kInterval, false, true}, now) ==
+  CHECK(schedule.Next({kInterval, false, true, false}, now) ==
         HeartbeatAction::kWrite);
+  // Until then, all instances together would press on it.
+  CHECK(schedule.Next({kInterval, false, false, false},
+                      kStart + kInterval + milliseconds(1900)) ==
+        HeartbeatAction::kNone);
   schedule.OnWriteStarted(now);
   schedule.OnCommitted(now);
-  CHECK(schedule.Next({kInterval, false, true}, now + milliseconds(700)) ==
-        HeartbeatAction::kNone);
+  CHECK(schedule.Next({kInterval, false, true, false},
+                      now + milliseconds(700)) == HeartbeatAction::kNone);
 }
 
 }  // namespace
--- a/tests/unit/fleet/member_row_collector_test.cc
+++ b/tests/unit/fleet/member_row_collector_test.cc
@@ -64,10 +64,13 @@
   MemberRowCollector::Batch lost = rows.Take(kStart);
   CHECK(AddLive(&rows, Row("a", 2), kStart + milliseconds(500)) == 0);
   MemberRowCollector::Batch written = rows.Take(kStart + milliseconds(600));
-  rows.OnCommitted(written);
+  CHECK(rows.IsOverdue(milliseconds(0), kStart) == false);
+  rows.OnCommitted(written, kStart + milliseconds(600));
   CHECK(AddLive(&rows, Row("a", 3), kStart + milliseconds(900)) == 2);
   // A new process of the instance counts from 1 again.
   CHECK(AddLive(&rows, Row("a", 1, 8), kStart + milliseconds(1200)) == 0);
+  CHECK_FALSE(rows.IsOverdue(milliseconds(1000), kStart + milliseconds(1300)));
+  CHECK(rows.IsOverdue(milliseconds(1000), kStart + milliseconds(1700)));
   CHECK(BeatIn(rows.Take(kStart + milliseconds(1300)).rows.at(0)) == 1);
   CHECK(lost.rows.size() == 1);
 }
--- a/tests/unit/fleet/reader_selector_test.cc
+++ b/tests/unit/fleet/reader_selector_test.cc
@@ -77,5 +77,38 @@
   }
 }
 
+// Guards against instances that all read the store for a long time because
+// their reader was lost or was turned away by the store for a moment.
+TEST_CASE("another reader takes the place of one that fails", "[fleet]") {
+  TimePoint now{std::chrono::hours(1)};
+  std::vector<LiveInstance> live = Instances(118);
+  int followers = 0;
+  for (const LiveInstance& entry : live) {
+    ReaderSelector choice(entry.instance);
+    choice.SetInstances(live);
+    std::optional<LiveInstance> reader = choice.CurrentReader(now);
+    if (!reader.has_value()) {
+      continue;
+    }
+    ++followers;
+    ReaderSelector lost = choice;
+    lost.OnReaderFailed(reader->instance, now);
+    CHECK_FALSE(lost.CurrentReader(now + milliseconds(2900)).has_value());
+    std::optional<LiveInstance> next =
+        lost.CurrentReader(now + milliseconds(3000));
+    REQUIRE(next.has_value());
+    CHECK(next->instance != reader->instance);
+    CHECK(lost.CurrentReader(now + milliseconds(12000))->instance ==
+          reader->instance);
+    ReaderSelector outdated = choice;
+    outdated.OnReaderOutdated(reader->instance, now);
+    CHECK_FALSE(outdated.CurrentReader(now + milliseconds(1400)).has_value());
+    CHECK(outdated.CurrentReader(now + milliseconds(1500)).has_value());
+    CHECK(outdated.CurrentReader(now + milliseconds(4000))->instance ==
+          reader->instance);
+  }
+  CHECK(followers == 118 - 8);
+}
+
 }  // namespace
 }  // namespace filbertshift
--- a/tests/unit/gateway/forwarder_test.cc
+++ b/tests/unit/gateway/forwarder_test.cc
@@ -191,6 +191,23 @@
   CHECK(f.transport.At(arrival.connection).aborted);
 }
 
+// Guards against an instance that sends all requests without a prompt to the
+// same one of several free endpoints.
+TEST_CASE("requests without a prompt are spread", "[gateway]") {
+  ForwarderFixture f(3);
+  std::map<std::string, int> used;
+  for (int i = 0; i < 90; ++i) {
+    std::string id = "spread" + std::to_string(i);
+    f.Request("POST", "/once/x", id, "", "b");
+    ForwarderFixture::Arrival arrival = f.NextArrival();
+    ++used[arrival.endpoint];
+    f.Respond(arrival, ForwarderFixture::WholeResponse(200, id, "done"));
+  }
+  for (const char* endpoint : {"e1", "e2", "e3"}) {
+    CHECK(used[endpoint] >= 15);
+  }
+}
+
 // Guards against charging the repeat budget for attempts that could not
 // connect: during a partition they exhausted it, and streams could not be
 // resumed.
--- a/tests/unit/gateway/many_instances_test.cc
+++ b/tests/unit/gateway/many_instances_test.cc
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 
 #include "platform/platform.h"
 #include "src/gateway/gateway.h"
@@ -237,6 +238,22 @@
       CHECK((member == reader || member->log.highest <= kCount - 1));
     }
   }
+  SECTION("the store turns a third of the instances away") {
+    std::vector<Member*> running = fleet.Running();
+    std::set<const SimNode*> refused;
+    for (std::size_t i = 0; i < running.size(); i += 3) {
+      refused.insert(running[i]->node);
+    }
+    const SimNode* store_node = fleet.store_node_;
+    fleet.network.SetCut([=](const SimNode* a, const SimNode* b) {
+      return b == store_node && refused.count(a) > 0;
+    });
+    fleet.network.RunFor(seconds(20));
+    fleet.network.SetCut([](const SimNode*, const SimNode*) { return false; });
+    fleet.network.RunFor(seconds(8));
+    // The others write the rows of those that are turned away.
+    CHECK(fleet.LowestCount() == kCount);
+  }
   SECTION("the store does not answer for a while") {
     fleet.store.SetBusy(true);
     fleet.network.RunFor(seconds(12));
