Use the endpoints of a rollout's first share evenly

The first share of a rollout may use a subset of the candidate's endpoints. Within it every instance without a request of its own in progress took the first endpoint by hash, so all sent to the same one: 1 of 12 in the new test, 12 now. Ruled out: failures (none), the time of the evidence alone (the sums only come later).

Change: the subset is still the same for all instances, and within it requests are spread by the hash of their prompt or their id.

--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -229,6 +229,30 @@
          slowness;
 }
 
+bool EndpointPool::IsAvoided(Entry* entry,
+                             double mean_failure_rate,
+                             TimePoint now) const {
+  bool failing = entry->failure_rate > mean_failure_rate + kFailureRateExcess;
+  if (failing && entry->avoid_until < now) {
+    entry->avoid_until = now + kAvoidAfterFailures;
+    // Stays just below the threshold, so that after the pause one request
+    // probes whether the endpoint still fails.
+    entry->failure_rate = mean_failure_rate + kFailureRateExcess * 0.9;
+  }
+  return entry->avoid_until > now ||
+         IsUnreachable(entry->record.data_centre, now);
+}
+
+void EndpointPool::SortByAffinity(std::uint64_t affinity,
+                                  std::vector<Entry*>* entries) {
+  if (affinity != 0) {
+    std::sort(entries->begin(), entries->end(),
+              [affinity](const Entry* a, const Entry* b) {
+                return Combine(a->hash, affinity) > Combine(b->hash, affinity);
+              });
+  }
+}
+
 DispatchChoice EndpointPool::Choose(const DispatchQuery& query, TimePoint now) {
   std::vector<Entry*> candidates;
   for (auto& item : entries_) {
@@ -239,52 +263,54 @@
   if (candidates.empty()) {
     return {std::nullopt, NoEndpointReason::kNoCandidate};
   }
-  if (query.max_endpoints > 0) {
+  auto max_usable = static_cast<std::size_t>(query.max_endpoints);
+  if (max_usable > 0) {
     std::sort(candidates.begin(), candidates.end(),
               [](const Entry* a, const Entry* b) { return a->hash < b->hash; });
-  } else if (query.affinity != 0) {
-    std::sort(candidates.begin(), candidates.end(),
-              [&query](const Entry* a, const Entry* b) {
-                return Combine(a->hash, query.affinity) >
-                       Combine(b->hash, query.affinity);
-              });
+  } else {
+    SortByAffinity(query.affinity, &candidates);
   }
   double median_first_byte = MedianFirstByteMs(candidates);
   double mean_failure_rate = MeanFailureRate(candidates);
-  const Entry* best = nullptr;
-  double best_score = std::numeric_limits<double>::max();
-  const Entry* avoided = nullptr;
-  int considered = 0;
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    Entry* entry = candidates[i];
-    if (ColdLimitReached(entry, now)) {
-      continue;
-    }
-    bool failing = entry->failure_rate > mean_failure_rate + kFailureRateExcess;
-    if (failing && entry->avoid_until < now) {
-      entry->avoid_until = now + kAvoidAfterFailures;
-      // Stays just below the threshold, so that after the pause one request
-      // probes whether the endpoint still fails.
-      entry->failure_rate = mean_failure_rate + kFailureRateExcess * 0.9;
+  Entry* avoided = nullptr;
+  // In the order of preference; null where an endpoint cannot be used.
+  std::vector<Entry*> ranked;
+  std::size_t usable = 0;
+  for (Entry* entry : candidates) {
+    if (max_usable > 0 && usable == max_usable) {
+      break;
     }
-    if (entry->avoid_until > now ||
-        IsUnreachable(entry->record.data_centre, now)) {
+    if (ColdLimitReached(entry, now)) {
+      ranked.push_back(nullptr);
+    } else if (IsAvoided(entry, mean_failure_rate, now)) {
+      ranked.push_back(nullptr);
       if (avoided == nullptr || entry->avoid_until < avoided->avoid_until) {
         avoided = entry;
       }
-      continue;
+    } else {
+      ranked.push_back(entry);
+      ++usable;
     }
-    ++considered;
-    if (query.max_endpoints > 0 && considered > query.max_endpoints) {
-      break;
+  }
+  if (max_usable > 0) {
+    // All instances agree on the subset; within it, requests are spread.
+    ranked.erase(std::remove(ranked.begin(), ranked.end(), nullptr),
+                 ranked.end());
+    SortByAffinity(query.affinity, &ranked);
+  }
+  const Entry* best = nullptr;
+  double best_score = std::numeric_limits<double>::max();
+  for (std::size_t i = 0; i < ranked.size(); ++i) {
+    if (ranked[i] == nullptr) {
+      continue;
     }
     double cached_share = query.affinity != 0 && i < std::size(kCachedShares)
                               ? kCachedShares[i]
                               : 0;
-    double score = Score(*entry, query, cached_share, median_first_byte);
+    double score = Score(*ranked[i], query, cached_share, median_first_byte);
     if (score < best_score) {
       best_score = score;
-      best = entry;
+      best = ranked[i];
     }
   }
   if (best == nullptr) {
--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -134,6 +134,11 @@
   bool IsCandidate(const Entry& entry, const DispatchQuery& query) const;
   bool IsCold(const Entry& entry, TimePoint now) const;
   bool ColdLimitReached(Entry* entry, TimePoint now) const;
+  // Whether the endpoint is used only if there is no other.
+  bool IsAvoided(Entry* entry, double mean_failure_rate, TimePoint now) const;
+  // Sorts so that all instances prefer the same endpoints for the same hash.
+  static void SortByAffinity(std::uint64_t affinity,
+                             std::vector<Entry*>* entries);
   double Score(const Entry& entry,
                const DispatchQuery& query,
                double cached_share,
--- a/tests/unit/dispatch/endpoint_pool_test.cc
+++ b/tests/unit/dispatch/endpoint_pool_test.cc
@@ -146,6 +146,35 @@
   }
 }
 
+// Guards against a first share of a rollout that all instances send to the same
+// endpoint of the candidate: it is overloaded, and a sound version counts as
+// slow and is sent back.
+TEST_CASE("a subset of endpoints is used evenly", "[dispatch]") {
+  constexpr int kInstances = 118;
+  constexpr int kSubset = 12;
+  constexpr int kRequests = 20;
+  std::map<EndpointId, int> used;
+  std::uint64_t prompt = 0;
+  for (int i = 0; i < kInstances; ++i) {
+    EndpointPool pool({1.5, 5});
+    pool.SetInstanceCount(kInstances);
+    for (int number = 1; number <= 100; ++number) {
+      pool.Update(Endpoint(number), kStart);
+    }
+    for (int r = 0; r < kRequests; ++r) {
+      DispatchQuery query = Query();
+      query.max_endpoints = kSubset;
+      query.affinity = ++prompt * 0x9e3779b97f4a7c15;
+      query.work = {12000, 5000, 1};
+      ++used[*pool.Choose(query, kStart).endpoint];
+    }
+  }
+  CHECK(used.size() == kSubset);
+  for (const auto& entry : used) {
+    CHECK(entry.second < 2 * kInstances * kRequests / kSubset);
+  }
+}
+
 // Guards against a frequent prompt prefix that overloads one endpoint.
 TEST_CASE("load bounds the pull of a shared prompt", "[dispatch]") {
   EndpointPool pool({1.5, 5});
