--- a/tests/unit/fleet/rollout_driver_test.cc
+++ b/tests/unit/fleet/rollout_driver_test.cc
@@ -117,8 +117,8 @@
 }
 
 // Guards against sound versions that are completed too late in a large fleet:
-// evidence is two seconds old there, the limit is lower, and a step and the order
-// are known 0.2 s after they were written, as in the log of a calm day.
+// evidence is two seconds old there, the limit is lower, and a step and the
+// order are known 0.2 s after they were written, as in the log of a calm day.
 TEST_CASE("a large fleet completes a rollout in time", "[fleet]") {
   constexpr milliseconds kTick{50};
   constexpr std::size_t kEvidenceLagTicks = 40;
