Tell a host that is gone from one whose process pauses

An endpoint that sends nothing looks the same whether its process pauses or its host has lost power. A connection tells them apart: the kernel of a host accepts it also while the process pauses.

The transport reports a refused connection as kRefused ("connect_refused" in the log) rather than as kConnectFailed; both mean, as before, that nothing was sent. Nothing else compares with kConnectFailed.

--- a/src/net/tcp_loop.cc
+++ b/src/net/tcp_loop.cc
@@ -75,6 +75,8 @@
       return "silent";
     case ConnectionEnd::kConnectFailed:
       return "connect_failed";
+    case ConnectionEnd::kRefused:
+      return "connect_refused";
   }
   return "reset";
 }
@@ -210,7 +212,9 @@
     return;
   }
   if (error) {
-    End(id, ConnectionEnd::kConnectFailed);
+    End(id, error == asio::error::connection_refused
+                ? ConnectionEnd::kRefused
+                : ConnectionEnd::kConnectFailed);
     return;
   }
   Cancel(connection->connect_timer);
--- a/src/net/transport.h
+++ b/src/net/transport.h
@@ -24,7 +24,10 @@
   kReset,
   // The peer has acknowledged nothing for the silence timeout.
   kSilent,
+  // No connection was established.
   kConnectFailed,
+  // As kConnectFailed: the host answered that nothing listens at the address.
+  kRefused,
 };
 
 std::string_view ConnectionEndName(ConnectionEnd end);
--- a/tests/unit/support/fake_transport.cc
+++ b/tests/unit/support/fake_transport.cc
@@ -20,6 +20,11 @@
     After(timeout, [this, id] { End(id, ConnectionEnd::kConnectFailed); });
     return id;
   }
+  if (refusing_.count(address) > 0) {
+    After(std::chrono::milliseconds(1),
+          [this, id] { End(id, ConnectionEnd::kRefused); });
+    return id;
+  }
   After(std::chrono::milliseconds(1), [this, id] {
     if (IsOpen(id)) {
       At(id).connected = true;
--- a/tests/unit/support/fake_transport.h
+++ b/tests/unit/support/fake_transport.h
@@ -39,6 +39,8 @@
 
   // Makes new connections to this address fail after their timeout.
   void SetDown(const std::string& address) { down_.insert(address); }
+  // Makes new connections to this address be refused.
+  void SetRefusing(const std::string& address) { refusing_.insert(address); }
   ConnectionId Accept(AcceptListener* listener);
   void Receive(ConnectionId connection, std::string_view data);
   void End(ConnectionId connection, ConnectionEnd end);
@@ -58,6 +60,7 @@
   std::map<std::uint64_t, Connection> connections_;
   std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> timers_;
   std::set<std::string> down_;
+  std::set<std::string> refusing_;
 };
 
 }  // namespace filbertshift
--- a/tests/unit/support/sim_network.cc
+++ b/tests/unit/support/sim_network.cc
@@ -29,7 +29,7 @@
   network_->ends_[id] = {this, listener, 0};
   auto found = network_->listeners_.find(address);
   if (found == network_->listeners_.end()) {
-    network_->EndLater(id, kDelay, ConnectionEnd::kConnectFailed);
+    network_->EndLater(id, kDelay, ConnectionEnd::kRefused);
   } else if (network_->IsCut(this, found->second.node)) {
     network_->EndLater(id, timeout, ConnectionEnd::kConnectFailed);
   } else {
