Block prompt parts and requests that crash endpoints

Cause: nothing related a broken attempt to what its request holds. Each request with the part crashed up to max_attempts endpoints, at every instance anew, and every crash moved all streams of the endpoint at once.

Change: a broken attempt that was not answered yet is followed by a connection to its endpoint; if that is refused, the endpoint has crashed (FS1780). What the requests of a crash have in common is kept by PromptQuarantine: a cause is blocked when so many crashes have it in common, without one answer to it in between, that a sound one is unlikely to have met them at the current rate of crashes (bound 1e-5). A blocked cause explains its crashes, so that what merely ran beside it stays free. Instances post their evidence to those that read the store, and get that of the others with the views they read; blocks are rows of the store as well, so that they outlive all instances. A block lapses after ten minutes and is tried by one request of one instance; each further crash doubles the time, an answer ends it. A request is not sent a third time after two crashes unless its parts are answered elsewhere. Refusals of requests that have not run say so, with the time to the next trial.

--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -195,6 +195,17 @@
        "Another instance passed a member row that cannot be written for it."},
       {EventId::kInstanceCountChanged, kInfo, "instance_count_changed",
        "The number of live instances that share limits has changed."},
+      {EventId::kEndpointCrashed, kWarning, "endpoint_crashed",
+       "An endpoint broke off requests that were not answered yet and refuses "
+       "connections; the detail has what these requests have in common with "
+       "others."},
+      {EventId::kCauseBlocked, kWarning, "crash_cause_blocked",
+       "Endpoints crash on a prompt part or a request: requests with it are "
+       "refused. Report it to the owner of the endpoints."},
+      {EventId::kCauseReleased, kInfo, "crash_cause_released",
+       "A prompt part or request that was blocked is served again."},
+      {EventId::kCrashEvidenceRejected, kWarning, "crash_evidence_rejected",
+       "Another instance sent evidence of crashes that cannot be decoded."},
   };
   return kDefinitions;
 }
--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -103,6 +103,10 @@
   kViewSourceChanged = 1745,
   kPeerRowRejected = 1746,
   kInstanceCountChanged = 1750,
+  kEndpointCrashed = 1780,
+  kCauseBlocked = 1781,
+  kCauseReleased = 1782,
+  kCrashEvidenceRejected = 1783,
 };
 
 struct EventDefinition {
--- a/src/common/ids.h
+++ b/src/common/ids.h
@@ -46,6 +46,9 @@
 using AttemptId = Id<struct AttemptTag>;
 using SessionId = Id<struct SessionTag>;
 using JobId = Id<struct JobTag>;
+// Something that requests have in common and that may crash endpoints: a prompt
+// part, or a request that its caller sends again and again.
+using CauseId = Id<struct CauseTag>;
 
 // Identifies a caller connection; unique within one process.
 enum class CallerId : std::uint64_t {};
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -11,6 +11,7 @@
 #include "src/dispatch/endpoint_pool.h"
 #include "src/dispatch/model_choice.h"
 #include "src/dispatch/moving_average.h"
+#include "src/dispatch/prompt_quarantine.h"
 #include "src/dispatch/repeat_budget.h"
 #include "src/dispatch/sliding_counter.h"
 #include "src/dispatch/version_policy.h"
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -13,6 +13,7 @@
 #include "src/fleet/member_clock.h"
 #include "src/fleet/member_row_collector.h"
 #include "src/fleet/member_state.h"
+#include "src/fleet/quarantine_row.h"
 #include "src/fleet/rate_meter.h"
 #include "src/fleet/reader_selector.h"
 #include "src/fleet/rollout_driver.h"
--- a/src/fleet/fleet_view.cc
+++ b/src/fleet/fleet_view.cc
@@ -293,6 +293,15 @@
     } else {
       progress_.erase(service);
     }
+  } else if (StartsWith(row.key, kQuarantineKeyPrefix)) {
+    CauseId cause(row.key.substr(kQuarantineKeyPrefix.size()));
+    std::optional<QuarantineRow> entry =
+        row.removed ? std::nullopt : DecodeQuarantineRow(row.value);
+    if (entry.has_value()) {
+      quarantine_rows_[cause] = *entry;
+    } else {
+      quarantine_rows_.erase(cause);
+    }
   }
 }
 
--- a/src/fleet/fleet_view.h
+++ b/src/fleet/fleet_view.h
@@ -18,6 +18,7 @@
 #include "src/fleet/document_codec.h"
 #include "src/fleet/member_clock.h"
 #include "src/fleet/member_state.h"
+#include "src/fleet/quarantine_row.h"
 #include "src/fleet/rollout_driver.h"
 #include "src/fleet/store_row.h"
 
@@ -50,6 +51,7 @@
 // Key prefixes in the table kInstances.
 constexpr std::string_view kMemberKeyPrefix = "instance/";
 constexpr std::string_view kProgressKeyPrefix = "rollout/";
+constexpr std::string_view kQuarantineKeyPrefix = "quarantine/";
 
 // Where rows were read from.
 enum class RowSource { kStore, kPeer };
@@ -113,6 +115,10 @@
     std::chrono::milliseconds changed_after{0};
   };
   const std::map<InstanceId, Member>& members() const { return members_; }
+  // Blocked causes of crashes.
+  const std::map<CauseId, QuarantineRow>& quarantine_rows() const {
+    return quarantine_rows_;
+  }
   // Time in which instances could show that they are live.
   std::chrono::milliseconds member_time() const {
     return member_clock_.elapsed();
@@ -172,6 +178,7 @@
   // Members whose row has changed since the member clock last advanced.
   std::vector<InstanceId> changed_members_;
   std::map<ServiceId, RolloutProgress> progress_;
+  std::map<CauseId, QuarantineRow> quarantine_rows_;
   std::optional<TimePoint> last_store_failure_;
   // Endpoints whose record has lapsed, with the time at which they are removed
   // unless the record returns. Invariant: each is in endpoints_.
--- /dev/null
+++ b/src/gateway/crash_watch.cc
@@ -0,0 +1,69 @@
+#include "src/gateway/crash_watch.h"
+
+#include <fmt/format.h>
+
+#include <set>
+#include <string>
+#include <utility>
+
+namespace filbertshift {
+
+namespace {
+
+// An endpoint that cannot be reached within this time may be cut off instead.
+constexpr std::chrono::milliseconds kProbeTimeout{150};
+
+std::string DescribeProfiles(const std::vector<CrashProfile>& profiles) {
+  std::set<std::string> parts;
+  for (const CrashProfile& profile : profiles) {
+    for (const CauseId& part : profile.parts) {
+      parts.insert(part.value());
+    }
+  }
+  return fmt::format("waiting={} causes={}", profiles.size(),
+                     fmt::join(parts, ","));
+}
+
+}  // namespace
+
+CrashWatch::CrashWatch(Transport* transport,
+                       EventLog* log,
+                       PromptQuarantine* quarantine)
+    : transport_(transport),
+      log_(log),
+      quarantine_(quarantine),
+      probe_(transport) {}
+
+void CrashWatch::OnBroken(const EndpointId& endpoint,
+                          const std::string& address,
+                          const CrashProfile& profile,
+                          Done done) {
+  bool probing = suspects_.count(endpoint) > 0;
+  Suspect& suspect = suspects_[endpoint];
+  suspect.profiles.push_back(profile);
+  suspect.done.push_back(std::move(done));
+  if (!probing) {
+    probe_.Probe(address, kProbeTimeout,
+                 [this, endpoint](EndpointProbe::Result result) {
+                   OnProbed(endpoint, result);
+                 });
+  }
+}
+
+void CrashWatch::OnProbed(const EndpointId& endpoint,
+                          EndpointProbe::Result result) {
+  Suspect suspect = std::move(suspects_[endpoint]);
+  suspects_.erase(endpoint);
+  bool crashed = result == EndpointProbe::Result::kRefused;
+  if (crashed) {
+    log_->Write(EventId::kEndpointCrashed, {RequestId(), AttemptId(), endpoint},
+                DescribeProfiles(suspect.profiles));
+    quarantine_->OnCrash(endpoint, suspect.profiles, transport_->Now());
+    quarantine_->Evaluate(transport_->Now());
+  }
+  for (const Done& done : suspect.done) {
+    done(crashed);
+  }
+}
+
+}  // namespace filbertshift
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -39,6 +39,8 @@
   std::string body;
   EventSplitter events;
   int event_blocks = 0;
+  // The quarantine knows that the request was answered.
+  bool answer_reported = false;
 };
 
 struct Exchange {
@@ -89,6 +91,17 @@
   std::string failure_body;
   // Why the latest attempt ended without a response, for the log.
   std::string failure_detail;
+  CrashProfile crash_profile;
+  // Attempts whose connection ended before the request was answered, and those
+  // of them that ended with a crash of the endpoint.
+  int early_breaks = 0;
+  int crashes = 0;
+  // The repeat waits until it is known whether the endpoint has crashed.
+  bool awaits_probe = false;
+  // Admitted by the quarantine; reset when an attempt breaks early.
+  bool admitted = false;
+  // When the caller may come back after a refusal; unset: a constant.
+  std::optional<std::chrono::milliseconds> retry_after;
 };
 
 }  // namespace filbertshift
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -73,7 +73,8 @@
       pool_(limits.cold),
       repeats_(limits.repeats),
       buffers_(limits.max_buffered_bytes),
-      versions_(limits.session_retention) {
+      versions_(limits.session_retention),
+      crash_watch_(transport, log, &quarantine_) {
   pool_.SetEvacuated([this](const DataCentreId& data_centre_id) {
     return view_.IsEvacuated(data_centre_id);
   });
@@ -216,6 +217,7 @@
   exchange->session =
       metadata.session.empty() ? metadata.request_id : metadata.session;
   exchange->last_event_id = metadata.last_event_id;
+  exchange->crash_profile = CrashProfileOf(*exchange);
   if (route.models.empty()) {
     exchange->model = ModelId(metadata.model);
   } else {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 
 #include "src/gateway/caller_server.h"
+#include "src/gateway/crash_watch.h"
 #include "src/gateway/exchange.h"
 #include "src/gateway/gateway_metrics.h"
 
@@ -55,6 +56,8 @@
   bool HasRoomForRepeat(const ServiceId& service) {
     return repeats_.AllowsRepeat(service, transport_->Now());
   }
+  PromptQuarantine& quarantine() { return quarantine_; }
+  const PromptQuarantine& quarantine() const { return quarantine_; }
   std::size_t in_progress() const { return exchanges_.size(); }
   // Bytes of responses held for their rest or for slow callers.
   std::size_t buffered_bytes() const { return buffers_.total(); }
@@ -115,6 +118,19 @@
   // Whether the request may be sent to one more endpoint.
   bool MayRepeat(const Exchange& exchange) const;
   void Repeat(Exchange* exchange, std::string_view reason);
+  // Crashes of endpoints.
+  CrashProfile CrashProfileOf(const Exchange& exchange) const;
+  // Returns false if it has refused the request.
+  bool AdmitExchange(Exchange* exchange);
+  void ReportAnswered(Exchange* exchange);
+  // The connection ended before the request was answered: repeats the request
+  // at another endpoint unless it crashes endpoints.
+  void OnEarlyBreak(Exchange* exchange, std::string_view reason);
+  void OnBreakExplained(ConnectionId caller,
+                        const std::string& request_id,
+                        bool crashed);
+  bool MayCrashEndpoints(const Exchange& exchange) const;
+
   void SweepSilentAttempts();
   void UpdateWaits(TimePoint now);
   bool IsSilent(const Exchange& exchange, TimePoint now) const;
@@ -161,6 +177,8 @@
   // Keyed as `exchanges_`.
   BufferBudget buffers_;
   VersionPolicy versions_;
+  PromptQuarantine quarantine_;
+  CrashWatch crash_watch_;
   RolloutEvidence evidence_;
   FirstByteWaitEstimator waits_;
   PromptTimeEstimator prompts_;
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -24,10 +24,19 @@
 // Number of event blocks at the start of a stream over which the mean gap is
 // computed.
 constexpr int kGapSampleBlocks = 4;
+// A stream counts as answered with its second block of events: an endpoint may
+// send the head, and perhaps an event, before it crashes.
+constexpr int kAnsweredBlocks = 2;
 // A response that is not streamed advances with this many bytes. An endpoint in
 // trouble may send one byte now and then.
 constexpr std::size_t kMinProgressBytes = 512;
 
+double RetryAfterSeconds(const Exchange& exchange) {
+  return exchange.retry_after.has_value()
+             ? std::chrono::duration<double>(*exchange.retry_after).count()
+             : kRetryAfterSeconds;
+}
+
 HttpResponseHead HeadForCaller(HttpResponseHead head) {
   RemoveConnectionFields(&head.headers);
   return head;
@@ -172,6 +181,9 @@
   std::string events = attempt.events.Add(data);
   if (!events.empty()) {
     ++attempt.event_blocks;
+    if (attempt.event_blocks == kAnsweredBlocks) {
+      ReportAnswered(exchange);
+    }
     RecordGap(*exchange, transport_->Now());
     if (!DeliverEvents(exchange, events)) {
       return;
@@ -288,6 +300,7 @@
 void Forwarder::CompleteBuffered(Exchange* exchange) {
   HttpResponseHead head = HeadForCaller(exchange->attempt->head);
   std::string body = std::move(exchange->attempt->body);
+  ReportAnswered(exchange);
   RecordOutcome(*exchange, false);
   ++exchange->runs;
   EndAttempt(exchange, AttemptResult::kAnswered);
@@ -307,6 +320,7 @@
     return;
   }
   BeginResponse(exchange);
+  ReportAnswered(exchange);
   RecordOutcome(*exchange, false);
   int status = attempt.head.status;
   ++exchange->runs;
@@ -332,6 +346,7 @@
     Repeat(exchange, "unsealed");
     return;
   }
+  ReportAnswered(exchange);
   RecordOutcome(*exchange, status >= 500);
   exchange->failure_head = HeadForCaller(attempt.head);
   exchange->failure_body = std::move(attempt.body);
@@ -355,6 +370,10 @@
     Repeat(exchange, "not_sent");
     return;
   }
+  if (!exchange->attempt->answer_reported) {
+    OnEarlyBreak(exchange, detail);
+    return;
+  }
   MoveAttempt(exchange, detail);
 }
 
@@ -403,7 +422,8 @@
   HttpResponseHead head{status, std::string(ReasonPhrase(status)), {}};
   head.headers.Add("Content-Type", "application/json");
   if (status == 503) {
-    head.headers.Add("Retry-After", fmt::format("{}", kRetryAfterSeconds));
+    head.headers.Add("Retry-After",
+                     fmt::format("{}", RetryAfterSeconds(*exchange)));
   }
   ConnectionId caller = exchange->caller;
   Finish(exchange, status, code);
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -108,6 +108,9 @@
     GiveUp(exchange, 504, "deadline");
     return;
   }
+  if (!AdmitExchange(exchange)) {
+    return;
+  }
   DispatchQuery query = QueryFor(*exchange);
   DispatchChoice choice = pool_.Choose(query, now);
   if (!choice.endpoint.has_value() && !exchange->tried.empty()) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/gateway.h"
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
@@ -13,6 +14,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTickInterval{100};
+constexpr milliseconds kQuarantineExpiryInterval{5000};
 // After joining, an instance sends nothing to cold endpoints until the others
 // include it in their share of the cold limit.
 constexpr milliseconds kColdJoinDelay{3500};
@@ -106,6 +108,7 @@
               &store_client_,
               &peer_client_,
               &view_,
+              &forwarder_.quarantine(),
               log,
               metrics),
       operator_pages_(settings.instance,
@@ -120,6 +123,7 @@
                     operator_pages_,
                     *transport,
                     &peer_rows_,
+                    &forwarder_.quarantine(),
                     log,
                     metrics),
       peer_server_(transport, &peer_service_),
@@ -134,7 +138,11 @@
                 {settings.rollout_share, settings.rollout_tolerance},
                 &forwarder_,
                 &writer_,
-                log) {
+                log),
+      crash_evidence_(transport, &peer_client_, log, &forwarder_.quarantine()),
+      quarantine_store_(view_, &forwarder_.quarantine(), &writer_) {
+  forwarder_.quarantine().SetTrialOwner(
+      [this](const CauseId& cause) { return IsTrialOwner(cause); });
   forwarder_.SetServer(&caller_server_);
   readiness_handler_.SetServer(&readiness_server_);
   peer_service_.SetServer(&peer_server_);
@@ -166,6 +174,7 @@
   rollouts_.Step(source_.StoreTime(), now);
   SendHeartbeat(now);
   source_.Step(live, rollouts_.InProgress());
+  StepQuarantine(now);
   UpdateMetrics(now);
   if (!was_ready_ && IsReady()) {
     was_ready_ = true;
@@ -262,7 +271,45 @@
                                    now - *joined_at_ >= kColdJoinDelay);
 }
 
+void Gateway::StepQuarantine(TimePoint now) {
+  PromptQuarantine& quarantine = forwarder_.quarantine();
+  if (now >= next_quarantine_expiry_) {
+    next_quarantine_expiry_ = now + kQuarantineExpiryInterval;
+    quarantine.Expire(now);
+  }
+  quarantine.Evaluate(now);
+  auto rank = std::count_if(source_.live().begin(), source_.live().end(),
+                            [this](const LiveInstance& live) {
+                              return live.instance < settings_.instance;
+                            });
+  quarantine_store_.Step(static_cast<int>(rank), source_.StoreTime(), now);
+  crash_evidence_.Step(source_.ReaderAddresses());
+  LogQuarantineChanges();
+}
+
+void Gateway::LogQuarantineChanges() {
+  for (const PromptQuarantine::Change& change :
+       forwarder_.quarantine().TakeChanges()) {
+    log_->Write(
+        change.blocked ? EventId::kCauseBlocked : EventId::kCauseReleased,
+        fmt::format("cause={} crashes={} strikes={}", change.cause.value(),
+                    change.crashes, change.strikes));
+  }
+}
+
+bool Gateway::IsTrialOwner(const CauseId& cause) const {
+  auto weight = [&cause](const InstanceId& instance) {
+    std::string text = instance.value() + "/" + cause.value();
+    return XXH64(text.data(), text.size(), 0);
+  };
+  std::uint64_t own = weight(settings_.instance);
+  return std::none_of(
+      source_.live().begin(), source_.live().end(),
+      [&](const LiveInstance& live) { return weight(live.instance) > own; });
+}
+
 void Gateway::UpdateMetrics(TimePoint now) {
+  metrics_->SetBlockedCauses(forwarder_.quarantine().blocks().size());
   metrics_->SetEndpoints(view_.endpoints().size());
   metrics_->SetInstances(static_cast<std::size_t>(instance_count_));
   for (int i = 0; i < kStoreTableCount; ++i) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,12 +10,14 @@
 #include <vector>
 
 #include "src/gateway/caller_server.h"
+#include "src/gateway/crash_evidence_exchange.h"
 #include "src/gateway/forwarder.h"
 #include "src/gateway/gateway_metrics.h"
 #include "src/gateway/gateway_ports.h"
 #include "src/gateway/gateway_settings.h"
 #include "src/gateway/operator_pages.h"
 #include "src/gateway/peer_exchange.h"
+#include "src/gateway/quarantine_store.h"
 #include "src/gateway/rollout_control.h"
 #include "src/gateway/store_writer.h"
 #include "src/gateway/view_source.h"
@@ -83,6 +85,10 @@
   void OnRowCommitted(TimePoint now);
   void UpdateSharedLimits(int instance_count, TimePoint now);
   void UpdateMetrics(TimePoint now);
+  void StepQuarantine(TimePoint now);
+  void LogQuarantineChanges();
+  // Whether this instance makes the trials of a cause that was blocked.
+  bool IsTrialOwner(const CauseId& cause) const;
   void CheckShutdown();
 
   const GatewaySettings settings_;
@@ -105,6 +111,9 @@
   CallerServer peer_server_;
   StoreWriter writer_;
   RolloutControl rollouts_;
+  CrashEvidenceExchange crash_evidence_;
+  QuarantineStore quarantine_store_;
+  TimePoint next_quarantine_expiry_{};
 
   HeartbeatSchedule heartbeats_;
   std::uint64_t heartbeat_count_ = 0;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -82,6 +82,11 @@
         instances(GaugeFamily(registry,
                               "filbertshift_live_instances",
                               "Instances that share limits.")),
+        blocked_causes(GaugeFamily(
+            registry,
+            "filbertshift_blocked_crash_causes",
+            "Prompt parts and requests that are refused because they crash "
+            "endpoints.")),
         table_age(GaugeFamily(registry,
                               "filbertshift_table_age_seconds",
                               "Time since a table was known to be current.")) {}
@@ -97,6 +102,7 @@
   prometheus::Family<prometheus::Gauge>& in_progress;
   prometheus::Family<prometheus::Gauge>& endpoints;
   prometheus::Family<prometheus::Gauge>& instances;
+  prometheus::Family<prometheus::Gauge>& blocked_causes;
   prometheus::Family<prometheus::Gauge>& table_age;
 };
 
@@ -160,6 +166,10 @@
   families_->instances.Add({}).Set(static_cast<double>(instances));
 }
 
+void GatewayMetrics::SetBlockedCauses(std::size_t causes) {
+  families_->blocked_causes.Add({}).Set(static_cast<double>(causes));
+}
+
 void GatewayMetrics::SetTableAge(std::string_view table,
                                  std::chrono::milliseconds age) {
   families_->table_age.Add({{"table", std::string(table)}}).Set(Seconds(age));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -32,6 +32,8 @@
   void SetInProgress(std::size_t exchanges);
   void SetEndpoints(std::size_t endpoints);
   void SetInstances(std::size_t instances);
+  // Prompt parts and requests that are blocked because they crash endpoints.
+  void SetBlockedCauses(std::size_t causes);
   // Time since this instance's copy of a store table was confirmed current.
   void SetTableAge(std::string_view table, std::chrono::milliseconds age);
   // Returns the metrics in the Prometheus text exposition format.
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/gateway/crash_evidence_exchange.h"
 #include "src/gateway/operator_pages.h"
 
 namespace filbertshift {
@@ -22,6 +23,8 @@
 // time.
 constexpr milliseconds kReadTimeout{400};
 constexpr milliseconds kMaxIdle{3600000};
+// Crashes are told to peers that only read after this time.
+constexpr milliseconds kMinToldCrashAge{250};
 
 // Parses the table versions in "/v1/fleet-view/A/B/C"; 0 for missing ones.
 std::array<std::int64_t, kStoreTableCount> KnownVersions(
@@ -66,7 +69,8 @@
   }
   json message =
       json::array({view.source.reads_store, EncodeTime(view.source.store_time),
-                   std::move(tables), view.committed_beat});
+                   std::move(tables), view.committed_beat,
+                   EncodeCrashEvidence(view.crash_evidence)});
   std::vector<std::uint8_t> bytes = json::to_msgpack(message);
   return std::string(bytes.begin(), bytes.end());
 }
@@ -99,6 +103,11 @@
     if (message.size() > kCommittedBeat) {
       view.committed_beat = message.at(kCommittedBeat).get<std::uint64_t>();
     }
+    // Nor do they share evidence of crashes.
+    constexpr std::size_t kCrashEvidence = 4;
+    if (message.size() > kCrashEvidence) {
+      view.crash_evidence = DecodeCrashEvidence(message.at(kCrashEvidence));
+    }
     return view;
   } catch (const json::exception& error) {
     throw FindingsError({{"peer", "", 0, 0, error.what()}});
@@ -110,6 +119,7 @@
                          const OperatorPages& pages,
                          const Transport& transport,
                          MemberRowCollector* rows,
+                         PromptQuarantine* quarantine,
                          EventLog* log,
                          GatewayMetrics* metrics)
     : view_(view),
@@ -117,17 +127,23 @@
       pages_(pages),
       transport_(transport),
       rows_(rows),
+      quarantine_(quarantine),
       log_(log),
       metrics_(metrics) {}
 
 void PeerService::OnRequest(ConnectionId caller,
                             HttpRequestHead head,
-                            std::string row) {
+                            std::string content) {
   HttpResponseHead response{200, "OK", {}};
   std::string body;
   if (head.target.compare(0, kViewPath.size(), kViewPath) == 0) {
     response.headers.Add("Content-Type", "application/msgpack");
-    body = EncodeViewFor(head.target, CollectRow(caller, row));
+    body = EncodeViewFor(head.target, CollectRow(caller, content));
+  } else if (head.target == kCrashEvidencePath) {
+    response.headers.Add("Content-Type", "application/msgpack");
+    MergeCrashEvidence(content);
+    body = SerializeCrashEvidence(
+        quarantine_->Export(kMinToldCrashAge, transport_.Now()));
   } else if (head.target == kMetricsPath) {
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
     body = metrics_->Serialize();
@@ -140,6 +156,15 @@
   server_->Respond(caller, std::move(response), body);
 }
 
+void PeerService::MergeCrashEvidence(const std::string& message) {
+  try {
+    quarantine_->Merge(ParseCrashEvidence(message), transport_.Now());
+    quarantine_->Evaluate(transport_.Now());
+  } catch (const FindingsError& error) {
+    log_->Write(EventId::kCrashEvidenceRejected, error.what());
+  }
+}
+
 // A row that cannot be written is reported here and not to its sender, which
 // writes it itself when no commit is reported.
 std::uint64_t PeerService::CollectRow(ConnectionId caller,
@@ -163,6 +188,7 @@
   PeerView view;
   view.source = source_.Source();
   view.committed_beat = committed_beat;
+  view.crash_evidence = quarantine_->Export(kMinToldCrashAge, transport_.Now());
   for (int i = 0; i < kStoreTableCount; ++i) {
     auto table = static_cast<StoreTable>(i);
     if (view_.confirmed_at(table) != TimePoint()) {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "src/dispatch/dispatch.h"
 #include "src/gateway/caller_server.h"
 #include "src/gateway/gateway_metrics.h"
 #include "src/gateway/gateway_ports.h"
@@ -41,6 +42,8 @@
   std::uint64_t committed_beat = 0;
   // Omits tables that were never read.
   std::vector<PeerTable> tables;
+  // What the sender knows about crashes.
+  CrashEvidence crash_evidence;
 };
 
 // Encodes the view as MessagePack.
@@ -65,6 +68,7 @@
               const OperatorPages& pages,
               const Transport& transport,
               MemberRowCollector* rows,
+              PromptQuarantine* quarantine,
               EventLog* log,
               GatewayMetrics* metrics);
   void SetServer(CallerServer* server) { server_ = server; }
@@ -76,6 +80,7 @@
   void OnRejected(int status, std::string_view reason) override;
 
  private:
+  void MergeCrashEvidence(const std::string& message);
   // Returns the latest committed heartbeat of the sender; 0 if none.
   std::uint64_t CollectRow(ConnectionId caller, const std::string& row);
   std::string EncodeViewFor(const std::string& target,
@@ -86,6 +91,7 @@
   const OperatorPages& pages_;
   const Transport& transport_;
   MemberRowCollector* const rows_;
+  PromptQuarantine* const quarantine_;
   EventLog* const log_;
   GatewayMetrics* const metrics_;
   CallerServer* server_ = nullptr;
--- a/src/gateway/view_source.cc
+++ b/src/gateway/view_source.cc
@@ -47,12 +47,14 @@
                        HttpClient* store_client,
                        HttpClient* peer_client,
                        FleetView* view,
+                       PromptQuarantine* quarantine,
                        EventLog* log,
                        GatewayMetrics* metrics)
     : settings_(settings),
       transport_(transport),
       store_client_(store_client),
       view_(view),
+      quarantine_(quarantine),
       log_(log),
       peer_reader_(transport, peer_client, this),
       relay_(settings.instance),
@@ -206,6 +208,16 @@
   return addresses;
 }
 
+std::vector<std::string> ViewSource::ReaderAddresses() const {
+  std::vector<std::string> addresses;
+  for (const LiveInstance& reader : relay_.readers()) {
+    if (reader.instance != settings_.instance) {
+      addresses.push_back(reader.peer_address);
+    }
+  }
+  return addresses;
+}
+
 std::optional<milliseconds> ViewSource::StoreTime() const {
   if (!store_clock_offset_.has_value()) {
     return std::nullopt;
@@ -293,6 +305,8 @@
   TimePoint now = transport_->Now();
   bool from_reader = reader_.has_value() && reader_->peer_address == address;
   committed_beat_ = std::max(committed_beat_, view.committed_beat);
+  quarantine_->Merge(view.crash_evidence, now);
+  quarantine_->Evaluate(now);
   std::string unfit_reason = UnfitReason(view);
   standby_peer_ =
       from_reader || store_reachable_ || !unfit_reason.empty() ? "" : address;
--- a/src/gateway/view_source.h
+++ b/src/gateway/view_source.h
@@ -27,6 +27,7 @@
              HttpClient* store_client,
              HttpClient* peer_client,
              FleetView* view,
+             PromptQuarantine* quarantine,
              EventLog* log,
              GatewayMetrics* metrics);
 
@@ -51,6 +52,9 @@
   // Latest heartbeat of this process that a reader has reported as committed;
   // 0 if none.
   std::uint64_t committed_beat() const { return committed_beat_; }
+  // Peer addresses of the instances that read the store for others, without
+  // this one.
+  std::vector<std::string> ReaderAddresses() const;
   // All live instances as of the latest step.
   const std::vector<LiveInstance>& live() const { return live_; }
 
@@ -83,6 +87,7 @@
   Transport* const transport_;
   HttpClient* const store_client_;
   FleetView* const view_;
+  PromptQuarantine* const quarantine_;
   EventLog* const log_;
   PeerReader peer_reader_;
   // In the order of StoreTable.
