--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -132,7 +132,7 @@
        "finishes its requests."},
       {EventId::kGatewayStopped, kInfo, "gateway_stopped",
        "The process ends; the detail has the requests that were still in "
-       "progress."},
+       "progress and the connections whose last bytes were not delivered yet."},
       {EventId::kSettingsReloaded, kInfo, "settings_reloaded",
        "SIGHUP arrived; the detail says what changed or why the settings "
        "were not taken."},
@@ -195,6 +195,9 @@
        "Another instance passed a member row that cannot be written for it."},
       {EventId::kInstanceCountChanged, kInfo, "instance_count_changed",
        "The number of live instances that share limits has changed."},
+      {EventId::kCallerRequestCut, kInfo, "caller_request_cut",
+       "A caller's connection ended while only a part of a request had "
+       "arrived; the detail has the reason and the bytes received."},
       {EventId::kEndpointCrashed, kWarning, "endpoint_crashed",
        "An endpoint broke off requests that were not answered yet and refuses "
        "connections; the detail has what these requests have in common with "
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -14,6 +14,26 @@
 
 namespace filbertshift {
 
+// Why a connection with a caller ended.
+enum class CallerCloseReason {
+  // No request began for the idle timeout.
+  kIdle,
+  // The response, or its request, said that the connection ends.
+  kAnnounced,
+  // Idle connections are closed at a planned stop.
+  kShutdown,
+  kRejected,
+  // The caller does not read its response.
+  kSlowCaller,
+  // The response could not be completed.
+  kBrokenOff,
+  kCallerClosed,
+  kCallerReset,
+  kCallerSilent,
+};
+
+std::string_view CallerCloseReasonName(CallerCloseReason reason);
+
 class HttpRequestHandler {
  public:
   virtual ~HttpRequestHandler() = default;
@@ -26,6 +46,10 @@
   virtual void OnCallerDisconnected(ConnectionId caller, ConnectionEnd end) = 0;
   // A malformed, oversized or late request was rejected with this status.
   virtual void OnRejected(int status, std::string_view reason) = 0;
+  // A connection ended. `unanswered_bytes` is the size of a request of which
+  // only a part had arrived; 0 if no request was affected.
+  virtual void OnConnectionClosed(CallerCloseReason /*reason*/,
+                                  std::size_t /*unanswered_bytes*/) {}
 };
 
 class CallerServer : public AcceptListener {
@@ -50,7 +74,7 @@
   void SendStream(ConnectionId caller, std::string_view data);
   void EndStream(ConnectionId caller);
   // Resets the connection, so that the caller sees the response as incomplete.
-  void AbortResponse(ConnectionId caller);
+  void AbortResponse(ConnectionId caller, CallerCloseReason reason);
   std::size_t UnsentBytes(ConnectionId caller) const;
   std::size_t connection_count() const { return connections_.size(); }
 
@@ -60,34 +84,67 @@
 
  private:
   struct Connection {
-    explicit Connection(HttpParseLimits limits)
-        : parser(HttpMessageParser::Kind::kRequest, limits) {}
+    explicit Connection(HttpParseLimits current)
+        : parser(HttpMessageParser::Kind::kRequest, current), limits(current) {}
     HttpMessageParser parser;
+    // The largest limits in force while the request arrives: a configuration
+    // that lowers them does not break it off.
+    HttpParseLimits limits;
     std::string body;
     // Bytes received after the request in progress.
     std::string pending;
+    // More bytes arrived than `pending` may hold and were dropped: requests up
+    // to there are served, the next one is refused.
+    bool overflowed = false;
+    // Bytes of the arriving request that are no longer in `pending`.
+    std::size_t parsed_bytes = 0;
     // The handler has a request whose response is not complete.
     bool in_request = false;
     bool continue_sent = false;
     bool keep_alive = true;
     bool streaming = false;
+    // Without chunks, the end of the connection ends a stream.
+    bool accepts_chunks = true;
     bool parsing = false;
     // No request has started to arrive yet.
     bool unused = true;
     TimePoint accepted_at{};
+    // End of the latest response, or `accepted_at`.
+    TimePoint idle_since{};
+    // First byte of the arriving request.
+    TimePoint request_started_at{};
+    // Size of `body` when the timer was started.
+    std::size_t body_bytes_at_timer = 0;
     TimerId timer{};
   };
 
   Connection* Find(ConnectionId id);
   bool AwaitsFirstRequest(const Connection& connection) const;
+  // Whether no byte of a request awaits its response.
+  static bool IsIdle(const Connection& connection);
+  // Rounded up; zero for a time in the past.
+  std::chrono::milliseconds TimeLeft(TimePoint end) const;
+  void UpdateLimits(Connection* connection) const;
   void Process(ConnectionId id);
   // Returns true if a complete request is ready for the handler.
   bool ParseRequest(ConnectionId id, Connection* connection);
   void SendContinue(ConnectionId id, Connection* connection);
   void Reject(ConnectionId id, int status, std::string_view reason);
   void FinishResponse(ConnectionId id, Connection* connection);
+  // Forgets the connection and reports why it ended.
+  void Remove(ConnectionId id, CallerCloseReason reason);
+  // The limits in force when a timer expires apply, as the limits may have been
+  // raised meanwhile.
   void ArmIdleTimer(ConnectionId id, Connection* connection);
+  void OnIdleTimer(ConnectionId id);
   void ArmHeadTimer(ConnectionId id, Connection* connection);
+  void OnHeadTimer(ConnectionId id);
+  // A body may take long, but must go on to arrive.
+  void ArmBodyTimer(ConnectionId id, Connection* connection);
+  void OnBodyTimer(ConnectionId id);
+  // Reads what has arrived when a timer expires. Returns nullptr if the
+  // connection has ended or another timer was started.
+  Connection* ReadAtExpiry(ConnectionId id);
   void AddConnectionField(const Connection& connection,
                           HttpResponseHead* head) const;
 
--- a/src/http1/http_parser_adapter.h
+++ b/src/http1/http_parser_adapter.h
@@ -40,6 +40,8 @@
   // Signals that the peer closed its side without an error, which completes a
   // response without a length.
   void FeedEnd();
+  // Applies to what is parsed from now on.
+  void SetLimits(HttpParseLimits limits) { limits_ = limits; }
   // Discards all state, for the next message.
   void Reset();
 
@@ -52,6 +54,12 @@
   bool has_framing() const { return has_framing_; }
   // True if the connection can be reused after this message.
   bool keep_alive() const { return keep_alive_; }
+  // Whether the sender of a request understands chunks. Valid once the head is
+  // complete.
+  bool accepts_chunks() const {
+    return parser_.http_major > 1 ||
+           (parser_.http_major == 1 && parser_.http_minor >= 1);
+  }
   // An interim response (1xx).
   bool interim() const {
     return kind_ == Kind::kResponse && response_.status / 100 == 1;
@@ -77,7 +85,7 @@
   HttpHeaders& headers();
 
   const Kind kind_;
-  const HttpParseLimits limits_;
+  HttpParseLimits limits_;
   http_parser parser_;
   HttpRequestHead request_;
   HttpResponseHead response_;
--- a/src/net/tcp_loop.cc
+++ b/src/net/tcp_loop.cc
@@ -28,6 +28,13 @@
 // Delay after a failed accept, for example when the process has run out of file
 // descriptors.
 constexpr milliseconds kAcceptRetryDelay{20};
+// Limits of a connection that is closed while its peer may still be sending,
+// and of the number of such connections, each of which holds a file descriptor.
+constexpr milliseconds kMaxLingerTime{2000};
+// Time to deliver the rest of a response on a connection that is closed.
+constexpr milliseconds kMaxFlushTime{30000};
+constexpr std::size_t kMaxLingerBytes = std::size_t{32} * 1024 * 1024;
+constexpr std::size_t kMaxLingering = 128;
 
 // Throws boost::system::system_error for a malformed address.
 tcp::endpoint ParseAddress(const std::string& address) {
@@ -46,6 +53,20 @@
       make_error_code(boost::system::errc::invalid_argument), address);
 }
 
+void SetTcpOption(int descriptor, int option, int value) {
+  setsockopt(descriptor, IPPROTO_TCP, option, &value, sizeof(value));
+}
+
+// Returns nothing if the system does not tell.
+std::optional<tcp_info> TcpInfo(int descriptor) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return std::nullopt;
+  }
+  return info;
+}
+
 bool WouldBlock(const error_code& error) {
   return error == asio::error::would_block || error == asio::error::try_again ||
          error == asio::error::interrupted;
@@ -96,6 +117,9 @@
   entry->acceptor.bind(endpoint);
   entry->acceptor.listen(kListenBacklog);
   entry->acceptor.non_blocking(true);
+  if (listeners_.empty()) {
+    CheckAcknowledgements();
+  }
   listeners_.push_back(std::move(entry));
   Accept(listeners_.back().get());
 }
@@ -114,8 +138,12 @@
           return;
         }
         held->listener = listener->listener;
+        held->accepted = true;
         held->connected = true;
         SetOptions(&held->socket);
+        if (TcpInfo(held->socket.native_handle()).has_value()) {
+          SetTcpOption(held->socket.native_handle(), TCP_USER_TIMEOUT, 0);
+        }
         ConnectionId id = Add(std::move(held));
         listener->listener->OnAccepted(id);
         WaitToRead(id);
@@ -129,13 +157,39 @@
   socket->set_option(tcp::no_delay(true), ignored);
   socket->set_option(asio::socket_base::keep_alive(true), ignored);
   int descriptor = socket->native_handle();
-  auto set = [descriptor](int option, int value) {
-    setsockopt(descriptor, IPPROTO_TCP, option, &value, sizeof(value));
-  };
-  set(TCP_KEEPIDLE, kKeepAliveIdleSeconds);
-  set(TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
-  set(TCP_KEEPCNT, kKeepAliveProbes);
-  set(TCP_USER_TIMEOUT, static_cast<int>(silence_timeout_.count()));
+  SetTcpOption(descriptor, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetTcpOption(descriptor, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetTcpOption(descriptor, TCP_KEEPCNT, kKeepAliveProbes);
+  SetTcpOption(descriptor, TCP_USER_TIMEOUT,
+               static_cast<int>(silence_timeout_.count()));
+}
+
+// A peer whose buffer is full acknowledges each retransmission, so its latest
+// acknowledgement is about as old as the latest transmission.
+void TcpLoop::CheckAcknowledgements() {
+  TimePoint now = Now();
+  std::vector<ConnectionId> silent;
+  for (auto& [number, connection] : connections_) {
+    if (!connection->accepted || !connection->unacknowledged) {
+      continue;
+    }
+    std::optional<tcp_info> info = TcpInfo(connection->socket.native_handle());
+    if (!info.has_value() || info->tcpi_unacked == 0) {
+      // What is left waits for the peer to read; the kernel asks for that.
+      connection->unacknowledged = UnsentBytes(ConnectionId{number}) > 0;
+      connection->unacknowledged_since.reset();
+    } else if (!connection->unacknowledged_since.has_value()) {
+      connection->unacknowledged_since = now;
+    } else if (now - *connection->unacknowledged_since >= silence_timeout_ &&
+               milliseconds(info->tcpi_last_ack_recv) >=
+                   milliseconds(info->tcpi_last_data_sent) + silence_timeout_) {
+      silent.push_back(ConnectionId{number});
+    }
+  }
+  for (ConnectionId id : silent) {
+    End(id, ConnectionEnd::kSilent);
+  }
+  After(silence_timeout_ / 4, [this] { CheckAcknowledgements(); });
 }
 
 void TcpLoop::OnSignals(const std::vector<int>& signals,
@@ -184,7 +238,7 @@
   auto connection = std::make_unique<Connection>(context_);
   connection->listener = listener;
   ConnectionId id = Add(std::move(connection));
-  Find(id)->connect_timer =
+  Find(id)->timer =
       After(timeout, [this, id] { End(id, ConnectionEnd::kConnectFailed); });
   asio::post(context_, [this, id, address] { StartConnect(id, address); });
   return id;
@@ -217,7 +271,7 @@
                 : ConnectionEnd::kConnectFailed);
     return;
   }
-  Cancel(connection->connect_timer);
+  Cancel(connection->timer);
   connection->connected = true;
   connection->listener->OnConnected(id);
   WaitToRead(id);
@@ -226,20 +280,26 @@
 
 void TcpLoop::WaitToRead(ConnectionId id) {
   Connection* connection = Find(id);
-  if (connection == nullptr) {
+  if (connection == nullptr || connection->peer_finished) {
     return;
   }
   connection->socket.async_wait(tcp::socket::wait_read,
                                 [this, id](error_code error) {
                                   if (!error) {
-                                    Read(id);
+                                    ReadOnce(id);
+                                    WaitToRead(id);
                                   }
                                 });
 }
 
-void TcpLoop::Read(ConnectionId id) {
+void TcpLoop::ReadArrived(ConnectionId id) {
+  ReadOnce(id);
+}
+
+void TcpLoop::ReadOnce(ConnectionId id) {
   Connection* connection = Find(id);
-  if (connection == nullptr) {
+  if (connection == nullptr || !connection->connected ||
+      connection->peer_finished) {
     return;
   }
   error_code error;
@@ -249,11 +309,15 @@
     End(id, ConnectionEndFromError(error));
     return;
   }
-  if (size > 0 && !connection->closing) {
+  if (connection->closing) {
+    connection->discarded_bytes += size;
+    if (connection->discarded_bytes > kMaxLingerBytes) {
+      Remove(id);
+    }
+  } else if (size > 0) {
     connection->listener->OnData(id,
                                  std::string_view(read_buffer_.data(), size));
   }
-  WaitToRead(id);
 }
 
 void TcpLoop::Send(ConnectionId id, std::string_view data) {
@@ -279,6 +343,7 @@
                      connection->unsent.size() - connection->unsent_offset),
         error);
     connection->unsent_offset += size;
+    connection->unacknowledged = true;
     if (error && WouldBlock(error)) {
       WaitToWrite(id);
       return;
@@ -292,10 +357,48 @@
   connection->unsent.clear();
   connection->unsent_offset = 0;
   if (connection->closing) {
-    connections_.erase(Number(id));
+    FinishClose(id);
   }
 }
 
+void TcpLoop::BeginClose(ConnectionId id, Connection* connection) {
+  connection->closing = true;
+  Cancel(connection->timer);
+  connection->timer = After(kMaxFlushTime, [this, id] { Abort(id); });
+}
+
+void TcpLoop::FinishClose(ConnectionId id) {
+  Connection* connection = Find(id);
+  if (!connection->lingers || connection->peer_finished ||
+      lingering_count_ >= kMaxLingering) {
+    Remove(id);
+    return;
+  }
+  error_code error;
+  connection->socket.shutdown(tcp::socket::shutdown_send, error);
+  if (error) {
+    Remove(id);
+    return;
+  }
+  connection->lingering = true;
+  ++lingering_count_;
+  Cancel(connection->timer);
+  connection->timer = After(kMaxLingerTime, [this, id] { Remove(id); });
+}
+
+void TcpLoop::Remove(ConnectionId id) {
+  auto found = connections_.find(Number(id));
+  if (found == connections_.end()) {
+    return;
+  }
+  const Connection& connection = *found->second;
+  if (connection.lingering) {
+    --lingering_count_;
+  }
+  Cancel(connection.timer);
+  connections_.erase(found);
+}
+
 void TcpLoop::WaitToWrite(ConnectionId id) {
   Connection* connection = Find(id);
   connection->waiting_to_write = true;
@@ -323,11 +426,29 @@
     return;
   }
   if (connection->connected && UnsentBytes(id) > 0) {
-    connection->closing = true;
+    BeginClose(id, connection);
+    return;
+  }
+  Remove(id);
+}
+
+void TcpLoop::CloseLingering(ConnectionId id) {
+  Connection* connection = Find(id);
+  if (connection == nullptr || !connection->connected) {
+    Close(id);
     return;
   }
-  Cancel(connection->connect_timer);
-  connections_.erase(Number(id));
+  BeginClose(id, connection);
+  connection->lingers = true;
+  if (UnsentBytes(id) == 0) {
+    FinishClose(id);
+  }
+}
+
+std::size_t TcpLoop::ClosingCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [](const auto& entry) { return entry.second->closing; }));
 }
 
 void TcpLoop::Abort(ConnectionId id) {
@@ -339,8 +460,7 @@
     error_code ignored;  // The connection ends either way.
     connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
   }
-  Cancel(connection->connect_timer);
-  connections_.erase(Number(id));
+  Remove(id);
 }
 
 void TcpLoop::End(ConnectionId id, ConnectionEnd end) {
@@ -348,10 +468,18 @@
   if (found == connections_.end()) {
     return;
   }
-  ConnectionListener* listener = found->second->listener;
-  bool closing = found->second->closing;
-  Cancel(found->second->connect_timer);
-  connections_.erase(found);
+  Connection* connection = found->second.get();
+  ConnectionListener* listener = connection->listener;
+  bool closing = connection->closing;
+  if (end == ConnectionEnd::kClosed && connection->accepted &&
+      UnsentBytes(id) > 0) {
+    // The peer may have shut down only its sending side; if it has closed, the
+    // next write fails.
+    BeginClose(id, connection);
+    connection->peer_finished = true;
+  } else {
+    Remove(id);
+  }
   if (!closing) {
     listener->OnEnd(id, end);
   }
--- a/src/net/tcp_loop.h
+++ b/src/net/tcp_loop.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -21,6 +22,8 @@
 class TcpLoop : public Transport {
  public:
   // A connection ends when the peer acknowledges nothing for `silence_timeout`.
+  // A peer of an accepted connection may pause reading for longer if it still
+  // acknowledges.
   explicit TcpLoop(std::chrono::milliseconds silence_timeout);
   TcpLoop(const TcpLoop&) = delete;
   TcpLoop& operator=(const TcpLoop&) = delete;
@@ -41,6 +44,9 @@
   void Send(ConnectionId connection, std::string_view data) override;
   std::size_t UnsentBytes(ConnectionId connection) const override;
   void Close(ConnectionId connection) override;
+  void CloseLingering(ConnectionId connection) override;
+  std::size_t ClosingCount() const override;
+  void ReadArrived(ConnectionId connection) override;
   void Abort(ConnectionId connection) override;
   TimerId After(std::chrono::milliseconds delay,
                 std::function<void()> action) override;
@@ -60,12 +66,26 @@
     // socket.
     std::string unsent;
     std::size_t unsent_offset = 0;
+    bool accepted = false;
+    // Bytes were sent that the peer had not acknowledged at the latest check.
+    bool unacknowledged = false;
+    // When the check first found them; not set for a peer that has acknowledged
+    // everything in transit.
+    std::optional<TimePoint> unacknowledged_since;
     bool connected = false;
     bool waiting_to_write = false;
     // Close was called: the connection ends once all of `unsent` is written,
     // and the listener is not called any more.
     bool closing = false;
-    TimerId connect_timer{};
+    // CloseLingering was called; implies `closing`.
+    bool lingers = false;
+    // Everything is sent, and the peer has not closed yet; implies `lingers`.
+    bool lingering = false;
+    std::size_t discarded_bytes = 0;
+    // The peer sends no more.
+    bool peer_finished = false;
+    // Limits the time to connect, to send the rest before the end or to linger.
+    TimerId timer{};
   };
 
   struct Listener {
@@ -78,13 +98,20 @@
   ConnectionId Add(std::unique_ptr<Connection> connection);
   void Accept(Listener* listener);
   void SetOptions(Socket* socket) const;
+  // Replaces TCP_USER_TIMEOUT, which also ends connections whose peer only does
+  // not read.
+  void CheckAcknowledgements();
+  void BeginClose(ConnectionId id, Connection* connection);
   void StartConnect(ConnectionId id, const std::string& address);
   void FinishConnect(ConnectionId id, const boost::system::error_code& error);
   void WaitToRead(ConnectionId id);
-  void Read(ConnectionId id);
+  void ReadOnce(ConnectionId id);
   void WaitToWrite(ConnectionId id);
   void Flush(ConnectionId id);
   void End(ConnectionId id, ConnectionEnd end);
+  // Ends a connection that is closing and whose bytes are all written.
+  void FinishClose(ConnectionId id);
+  void Remove(ConnectionId id);
   void ArmTimer();
   void RunTimers();
   void WaitForSignal();
@@ -96,6 +123,8 @@
   std::function<void(int)> on_signal_;
   std::vector<std::unique_ptr<Listener>> listeners_;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+  // Connections that wait for their peers to close.
+  std::size_t lingering_count_ = 0;
   std::uint64_t last_id_ = 0;
   // Ordered by time, then by id.
   std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> timers_;
--- a/tests/unit/support/fake_transport.h
+++ b/tests/unit/support/fake_transport.h
@@ -20,6 +20,8 @@
     std::string address;
     ConnectionListener* listener = nullptr;
     std::string sent;
+    // Arrived but not yet delivered.
+    std::string unread;
     bool connected = false;
     bool closed = false;
     bool aborted = false;
@@ -31,18 +33,24 @@
   void Send(ConnectionId connection, std::string_view data) override;
   std::size_t UnsentBytes(ConnectionId) const override { return 0; }
   void Close(ConnectionId connection) override;
+  void CloseLingering(ConnectionId connection) override { Close(connection); }
+  std::size_t ClosingCount() const override { return closing_count_; }
+  void ReadArrived(ConnectionId connection) override;
   void Abort(ConnectionId connection) override;
   TimerId After(std::chrono::milliseconds delay,
                 std::function<void()> action) override;
   void Cancel(TimerId timer) override;
   TimePoint Now() const override { return now_; }
 
+  void SetClosingCount(std::size_t count) { closing_count_ = count; }
   // Makes new connections to this address fail after their timeout.
   void SetDown(const std::string& address) { down_.insert(address); }
   // Makes new connections to this address be refused.
   void SetRefusing(const std::string& address) { refusing_.insert(address); }
   ConnectionId Accept(AcceptListener* listener);
   void Receive(ConnectionId connection, std::string_view data);
+  // Lets data arrive that the node reads only when it asks for it.
+  void Arrive(ConnectionId connection, std::string_view data);
   void End(ConnectionId connection, ConnectionEnd end);
   // Advances the clock and runs the timers that become due, in order.
   void Advance(std::chrono::milliseconds time);
@@ -57,6 +65,7 @@
  private:
   TimePoint now_{std::chrono::hours(1)};
   std::uint64_t last_id_ = 0;
+  std::size_t closing_count_ = 0;
   std::map<std::uint64_t, Connection> connections_;
   std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> timers_;
   std::set<std::string> down_;
