Check numbers, names, addresses and depth of documents from others

Instances used endpoints that do not exist, or could end, because of one entry of another writer. Numbers were converted without a check of their range, which is undefined and differs between processors: 1e300 slots, negative or endless cold times, fractional start times. A port out of range was only noticed when a connection failed, once for each request. An id with line breaks went into a header field of the requests to the endpoint. A deep configuration, member row or peer view ended the process: copying a document and decoding MessagePack recurse.

Ruled out: the parser of JSON and the end of a document do not recurse, so a deep entry of an endpoint alone ended nothing; a malformed address reaches the loop as a failed connection and no exception leaves it.

"an unusual sound entry names its endpoint" passed before and after.

--- a/src/common/common.h
+++ b/src/common/common.h
@@ -7,6 +7,7 @@
 #include "src/common/buffered_event_log.h"
 #include "src/common/caller_error.h"
 #include "src/common/clock.h"
+#include "src/common/document_reader.h"
 #include "src/common/event_catalogue.h"
 #include "src/common/event_log.h"
 #include "src/common/finding.h"
--- a/src/common/tcp_socket.cc
+++ b/src/common/tcp_socket.cc
@@ -37,6 +37,12 @@
 
 }  // namespace
 
+std::uint16_t TcpAddress::port() const {
+  return ntohs(storage.ss_family == AF_INET6
+                   ? reinterpret_cast<const sockaddr_in6*>(&storage)->sin6_port
+                   : reinterpret_cast<const sockaddr_in*>(&storage)->sin_port);
+}
+
 TcpAddress ParseTcpAddress(const std::string& text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos) {
--- a/src/common/tcp_socket.h
+++ b/src/common/tcp_socket.h
@@ -5,6 +5,7 @@
 
 #include <sys/socket.h>
 
+#include <cstdint>
 #include <string>
 
 namespace filbertshift {
@@ -16,6 +17,7 @@
   const sockaddr* get() const {
     return reinterpret_cast<const sockaddr*>(&storage);
   }
+  std::uint16_t port() const;
 };
 
 // Parses a numeric address such as "127.0.0.1:80" or "[::1]:80"; host names are
--- a/src/fleet/member_state.cc
+++ b/src/fleet/member_state.cc
@@ -1,8 +1,11 @@
 #include "src/fleet/member_state.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/common/document_reader.h"
+
 namespace filbertshift {
 
 namespace {
@@ -12,6 +15,8 @@
 // Sums are encoded in thousandths to shorten the row; the precision is
 // sufficient for comparing versions.
 constexpr double kLogScale = 1000.0;
+// More requests than an instance can hold; sums over instances stay in range.
+constexpr std::int64_t kMaxInFlight = 1000000;
 
 json EncodeCounts(const EvidenceKey& key, const AnswerCounts& counts) {
   return json::array(
@@ -27,13 +32,20 @@
                   VersionId(entry.at(1).get<std::string>()),
                   entry.at(2).get<std::string>()};
   AnswerCounts& counts = evidence->at(key);
-  counts.answers = entry.at(3).get<std::int64_t>();
-  counts.failures = entry.at(4).get<std::int64_t>();
-  counts.first_bytes = entry.at(5).get<std::int64_t>();
-  counts.first_byte_log_sum = entry.at(6).get<double>() / kLogScale;
-  counts.gaps = entry.at(7).get<std::int64_t>();
-  counts.gap_log_sum = entry.at(8).get<double>() / kLogScale;
-  counts.sends = entry.at(9).get<std::int64_t>();
+  auto read_count = [&entry](std::size_t position) {
+    return ToInteger(entry.at(position), 0, kMaxCount);
+  };
+  auto read_sum = [&entry](std::size_t position) {
+    constexpr auto kMaxSum = static_cast<double>(kMaxCount);
+    return ToNumber(entry.at(position), -kMaxSum, kMaxSum) / kLogScale;
+  };
+  counts.answers = read_count(3);
+  counts.failures = read_count(4);
+  counts.first_bytes = read_count(5);
+  counts.first_byte_log_sum = read_sum(6);
+  counts.gaps = read_count(7);
+  counts.gap_log_sum = read_sum(8);
+  counts.sends = read_count(9);
 }
 
 }  // namespace
@@ -65,12 +77,12 @@
 
 std::optional<MemberState> DecodeMemberState(const std::string& text) {
   try {
-    json value = json::parse(text);
+    json value = ParseJson(text);
     MemberState state;
     state.instance = InstanceId(value.at("instance").get<std::string>());
     state.peer_address = value.at("peer_address").get<std::string>();
-    state.incarnation = value.at("incarnation").get<std::uint64_t>();
-    state.beat = value.at("beat").get<std::uint64_t>();
+    state.incarnation = ToUnsigned(value.at("incarnation"));
+    state.beat = ToUnsigned(value.at("beat"));
     if (value.contains("evidence")) {
       for (const json& entry : value["evidence"]) {
         DecodeCounts(entry, &state.evidence);
@@ -78,14 +90,21 @@
     }
     if (value.contains("stable_in_flight")) {
       for (const auto& [service, count] : value["stable_in_flight"].items()) {
-        state.stable_in_flight[ServiceId(service)] = count.get<int>();
+        state.stable_in_flight[ServiceId(service)] =
+            static_cast<int>(ToInteger(count, 0, kMaxInFlight));
+      }
+    }
+    if (value.contains("kept_sessions")) {
+      for (const json& session : value["kept_sessions"]) {
+        state.kept_sessions.push_back(static_cast<std::uint32_t>(
+            ToInteger(session, 0, std::numeric_limits<std::uint32_t>::max())));
       }
     }
-    state.kept_sessions =
-        value.value("kept_sessions", std::vector<std::uint32_t>());
     return state;
   } catch (const json::exception&) {
     return std::nullopt;
+  } catch (const DocumentError&) {
+    return std::nullopt;
   }
 }
 
--- a/src/fleet/rollout_driver.cc
+++ b/src/fleet/rollout_driver.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "src/common/document_reader.h"
+
 namespace filbertshift {
 
 namespace {
@@ -82,23 +84,24 @@
 
 std::optional<RolloutProgress> DecodeRolloutProgress(const std::string& text) {
   try {
-    json value = json::parse(text);
+    json value = ParseJson(text);
     RolloutProgress progress;
-    progress.order_version = value.at("order_version").get<std::int64_t>();
+    progress.order_version = ToInteger(value.at("order_version"), 0, kMaxCount);
     progress.to = VersionId(value.at("to").get<std::string>());
     progress.started_at =
-        milliseconds(value.at("started_at_ms").get<std::int64_t>());
+        milliseconds(ToInteger(value.at("started_at_ms"), 0, kMaxCount));
     progress.changed_at =
-        milliseconds(value.at("changed_at_ms").get<std::int64_t>());
-    progress.exposure_permille = value.at("exposure_permille").get<int>();
-    int state = value.at("state").get<int>();
-    if (state < 0 || state > static_cast<int>(RolloutPhase::kReverted)) {
-      return std::nullopt;
-    }
+        milliseconds(ToInteger(value.at("changed_at_ms"), 0, kMaxCount));
+    progress.exposure_permille = static_cast<int>(
+        ToInteger(value.at("exposure_permille"), 0, kFullPermille));
+    std::int64_t state = ToInteger(value.at("state"), 0,
+                                   static_cast<int>(RolloutPhase::kReverted));
     progress.state = static_cast<RolloutPhase>(state);
     return progress;
   } catch (const json::exception&) {
     return std::nullopt;
+  } catch (const DocumentError&) {
+    return std::nullopt;
   }
 }
 
--- a/src/gateway/operator_pages.cc
+++ b/src/gateway/operator_pages.cc
@@ -26,6 +26,11 @@
   return "in_progress";
 }
 
+// Names in rows of other writers may not be UTF-8.
+std::string Dump(const json& page) {
+  return page.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 }  // namespace
 
 OperatorPages::OperatorPages(InstanceId instance,
@@ -78,12 +83,11 @@
       peers.push_back({{"instance", live.instance.value()}, {"up", true}});
     }
   }
-  return json{{"instance", instance_.value()},
-              {"data_centre", data_centre_.value()},
-              {"ready", is_ready_()},
-              {"peers", std::move(peers)},
-              {"view", std::move(view)}}
-      .dump();
+  return Dump({{"instance", instance_.value()},
+               {"data_centre", data_centre_.value()},
+               {"ready", is_ready_()},
+               {"peers", std::move(peers)},
+               {"view", std::move(view)}});
 }
 
 std::string OperatorPages::EndpointsPage() const {
@@ -99,7 +103,7 @@
                                                               : "ready"},
          {"in_flight", forwarder_.InFlight(endpoint)}});
   }
-  return json{{"endpoints", std::move(endpoints)}}.dump();
+  return Dump({{"endpoints", std::move(endpoints)}});
 }
 
 std::string OperatorPages::RolloutsPage() const {
@@ -115,7 +119,7 @@
     }
     rollouts.push_back(std::move(entry));
   }
-  return json{{"rollouts", std::move(rollouts)}}.dump();
+  return Dump({{"rollouts", std::move(rollouts)}});
 }
 
 }  // namespace filbertshift
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/common/document_reader.h"
 #include "src/gateway/operator_pages.h"
 
 namespace filbertshift {
@@ -46,7 +47,7 @@
 }
 
 std::optional<milliseconds> DecodeTime(const json& value) {
-  auto count = value.get<std::int64_t>();
+  std::int64_t count = ToInteger(value, -1, kMaxCount);
   return count < 0 ? std::nullopt : std::make_optional(milliseconds(count));
 }
 
@@ -73,35 +74,34 @@
 
 PeerView DecodePeerView(const std::string& bytes) {
   try {
-    json message = json::from_msgpack(bytes);
+    json message = ParseMessagePack(bytes);
     PeerView view;
     view.source.reads_store = message.at(0).get<bool>();
     view.source.store_time = DecodeTime(message.at(1));
     for (const json& entry : message.at(2)) {
       PeerTable table;
-      int number = entry.at(0).get<int>();
-      if (number < 0 || number >= kStoreTableCount) {
-        throw FindingsError({{"peer", "", 0, 0, "unknown table"}});
-      }
-      table.changes.table = static_cast<StoreTable>(number);
-      table.changes.as_of = entry.at(1).get<std::int64_t>();
+      table.changes.table = static_cast<StoreTable>(
+          ToInteger(entry.at(0), 0, kStoreTableCount - 1));
+      table.changes.as_of = ToInteger(entry.at(1), 0, kMaxCount);
       table.changes.full_table = entry.at(2).get<bool>();
-      table.age = milliseconds(entry.at(3).get<std::int64_t>());
+      table.age = ToDuration(entry.at(3));
       for (const json& row : entry.at(4)) {
-        table.changes.rows.push_back(
-            StoreRow{row.at(0).get<std::string>(), row.at(1).get<std::string>(),
-                     row.at(2).get<std::int64_t>(), row.at(3).get<bool>()});
+        table.changes.rows.push_back(StoreRow{
+            row.at(0).get<std::string>(), row.at(1).get<std::string>(),
+            ToInteger(row.at(2), 0, kMaxCount), row.at(3).get<bool>()});
       }
       view.tables.push_back(std::move(table));
     }
     // Instances of earlier versions do not write rows for others.
     constexpr std::size_t kCommittedBeat = 3;
     if (message.size() > kCommittedBeat) {
-      view.committed_beat = message.at(kCommittedBeat).get<std::uint64_t>();
+      view.committed_beat = ToUnsigned(message.at(kCommittedBeat));
     }
     return view;
   } catch (const json::exception& error) {
     throw FindingsError({{"peer", "", 0, 0, error.what()}});
+  } catch (const DocumentError& error) {
+    throw FindingsError({{"peer", "", 0, 0, error.what()}});
   }
 }
 
--- a/tests/unit/gateway/row_protocol_test.cc
+++ b/tests/unit/gateway/row_protocol_test.cc
@@ -22,7 +22,7 @@
                 R"({{"rows":[{{"key":"e1","value":"QQ==","row_version":1}},)"
                 R"({{"key":"e2","value":{},"row_version":2}},)"
                 R"({{"key":"e3","value":"QUI=","row_version":3}}],)"
-                R"("has_more":false,"row_version":4,"now_ms":5}})",
+                R"("has_more":false,"row_version":4,"now_ms":5.5}})",
                 value));
     REQUIRE(response.rows.size() == 3);
     CHECK(response.rows[0].value == "A");
