Bound what odd entries cost in the log and in the views of peers

Ten thousand entries that cannot be used, written again each second, made as many log lines, each up to the size of its row, and as many rows in the view that peers read: 21 MB in the test, more than a peer accepts, so that it fell back to the store. And an entry that became odd within two seconds of a store failure left its endpoint in use, as if the entry had only lapsed.

At most 100 are logged in 10 s, with 300 bytes each, and FS1747 has the number of the others. The view keeps the version of such a row without its value, and tells peers of it again only when it changes between usable and not. An endpoint whose entry is there but names it no longer is out of use at once.

Failed before: "ten thousand odd entries cost little", "a finding in a large row is a short line", "an entry that becomes odd in an outage counts at once". They pass now.

--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -193,6 +193,9 @@
        "that reads it."},
       {EventId::kPeerRowRejected, kWarning, "peer_row_rejected",
        "Another instance passed a member row that cannot be written for it."},
+      {EventId::kStoreFindingsOmitted, kWarning, "store_findings_omitted",
+       "More rows of the store could not be used than are logged one by one; "
+       "the detail has the number of the others."},
       {EventId::kInstanceCountChanged, kInfo, "instance_count_changed",
        "The number of live instances that share limits has changed."},
   };
--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -102,6 +102,7 @@
   kPeerViewFailed = 1744,
   kViewSourceChanged = 1745,
   kPeerRowRejected = 1746,
+  kStoreFindingsOmitted = 1747,
   kInstanceCountChanged = 1750,
 };
 
--- a/src/fleet/fleet_view.cc
+++ b/src/fleet/fleet_view.cc
@@ -37,7 +37,7 @@
 FleetView::FleetView(const DocumentCodec& codec,
                      EventLog* log,
                      FleetViewListener* listener)
-    : codec_(codec), log_(log), listener_(listener) {}
+    : codec_(codec), log_(log), finding_log_(log), listener_(listener) {}
 
 void FleetView::ApplyChanges(StoreTable table,
                              const std::vector<StoreRow>& rows,
@@ -94,13 +94,13 @@
   if (row.removed && found == known.rows.end()) {
     return;
   }
-  bool changed = true;
+  RowEffect effect = RowEffect::kChanged;
   switch (table) {
     case StoreTable::kOperator:
-      ApplyOperatorRow(row);
+      ApplyOperatorRow(row, now);
       break;
     case StoreTable::kEndpoints:
-      changed = ApplyEndpointRow(row, source, now);
+      effect = ApplyEndpointRow(row, source, now);
       break;
     case StoreTable::kInstances:
       ApplyInstanceRow(row);
@@ -115,7 +115,13 @@
   // sent to the other instances, which may have removed it.
   bool is_new = found == known.rows.end();
   KnownRow& kept = known.rows[row.key];
+  bool was_usable = !kept.row.value.empty();
   kept.row = row;
+  if (effect == RowEffect::kUnusable) {
+    kept.row.value = std::string();
+  }
+  bool changed = effect == RowEffect::kUnusable ? was_usable
+                                                : effect == RowEffect::kChanged;
   if (changed || is_new) {
     kept.content_version = row.version;
   }
@@ -129,12 +135,12 @@
   }
 }
 
-void FleetView::ApplyOperatorRow(const StoreRow& row) {
+void FleetView::ApplyOperatorRow(const StoreRow& row, TimePoint now) {
   OperatorKey key = codec_.ParseOperatorKey(row.key);
   if (std::holds_alternative<ConfigurationKey>(key)) {
-    ApplyConfiguration(row);
+    ApplyConfiguration(row, now);
   } else if (const auto* rollout = std::get_if<RolloutKey>(&key)) {
-    ApplyOrder(rollout->service, row);
+    ApplyOrder(rollout->service, row, now);
   } else if (const auto* evacuation = std::get_if<EvacuationKey>(&key)) {
     if (row.removed) {
       evacuated_.erase(evacuation->data_centre);
@@ -148,7 +154,7 @@
   }
 }
 
-void FleetView::ApplyConfiguration(const StoreRow& row) {
+void FleetView::ApplyConfiguration(const StoreRow& row, TimePoint now) {
   if (row.removed) {
     log_->Write(
         EventId::kConfigurationRejected,
@@ -159,7 +165,7 @@
   std::vector<Finding> findings;
   std::optional<FleetConfiguration> decoded =
       codec_.DecodeConfiguration(row.value, &findings);
-  LogFindings(row.key, findings);
+  finding_log_.Write(row.key, findings, now);
   if (!decoded.has_value()) {
     log_->Write(
         EventId::kConfigurationRejected,
@@ -182,7 +188,9 @@
   listener_->OnConfiguration(*configuration_);
 }
 
-void FleetView::ApplyOrder(const ServiceId& service, const StoreRow& row) {
+void FleetView::ApplyOrder(const ServiceId& service,
+                           const StoreRow& row,
+                           TimePoint now) {
   if (row.removed) {
     orders_.erase(service);
     return;
@@ -190,7 +198,7 @@
   std::vector<Finding> findings;
   std::optional<RolloutOrder> order =
       codec_.DecodeRolloutOrder(row.value, &findings);
-  LogFindings(row.key, findings);
+  finding_log_.Write(row.key, findings, now);
   if (!order.has_value()) {
     return;
   }
@@ -203,49 +211,52 @@
   orders_[service] = *order;
 }
 
-bool FleetView::ApplyEndpointRow(const StoreRow& row,
-                                 RowSource source,
-                                 TimePoint now) {
+FleetView::RowEffect FleetView::ApplyEndpointRow(const StoreRow& row,
+                                                 RowSource source,
+                                                 TimePoint now) {
   EndpointId endpoint(row.key);
   if (row.removed) {
-    RemoveEndpoint(endpoint, source, now);
-    return true;
+    LapseEndpoint(endpoint, source, now);
+    return RowEffect::kChanged;
   }
   std::vector<Finding> findings;
   std::optional<RoutedEndpoint> record =
       codec_.DecodeEndpoint(row.key, row.value, &findings);
-  LogFindings(row.key, findings);
+  finding_log_.Write(row.key, findings, now);
   if (!record.has_value()) {
-    RemoveEndpoint(endpoint, source, now);
-    return true;
+    RemoveEndpoint(endpoint);
+    return RowEffect::kUnusable;
   }
   lapsed_.erase(endpoint);
   auto found = endpoints_.find(endpoint);
   if (found != endpoints_.end() &&
       EqualExceptHeartbeat(found->second, *record)) {
-    return false;
+    return RowEffect::kUnchanged;
   }
   endpoints_[endpoint] = *record;
   listener_->OnEndpoint(*record);
-  return true;
+  return RowEffect::kChanged;
 }
 
-void FleetView::RemoveEndpoint(const EndpointId& endpoint,
-                               RowSource source,
-                               TimePoint now) {
+void FleetView::LapseEndpoint(const EndpointId& endpoint,
+                              RowSource source,
+                              TimePoint now) {
   auto found = endpoints_.find(endpoint);
-  if (found == endpoints_.end()) {
-    return;
-  }
-  if (source == RowSource::kStore && last_store_failure_.has_value() &&
+  if (found != endpoints_.end() && source == RowSource::kStore &&
+      last_store_failure_.has_value() &&
       now - *last_store_failure_ < kLapseGrace &&
       found->second.state == EndpointState::kReady) {
     lapsed_[endpoint] = *last_store_failure_ + kLapseGrace;
     return;
   }
+  RemoveEndpoint(endpoint);
+}
+
+void FleetView::RemoveEndpoint(const EndpointId& endpoint) {
   lapsed_.erase(endpoint);
-  endpoints_.erase(found);
-  listener_->OnEndpointRemoved(endpoint);
+  if (endpoints_.erase(endpoint) > 0) {
+    listener_->OnEndpointRemoved(endpoint);
+  }
 }
 
 // A writer that was suspended, or whose write was delayed, may put an earlier
@@ -308,12 +319,14 @@
     }
   }
   for (const EndpointId& endpoint : expired) {
-    lapsed_.erase(endpoint);
-    endpoints_.erase(endpoint);
-    listener_->OnEndpointRemoved(endpoint);
+    RemoveEndpoint(endpoint);
   }
 }
 
+void FleetView::ReportOmittedFindings(TimePoint now) {
+  finding_log_.ReportOmitted(now);
+}
+
 bool FleetView::complete() const {
   return std::all_of(tables_.begin(), tables_.end(), [](const Table& table) {
     return table.confirmed_at != TimePoint();
@@ -378,12 +391,4 @@
   return found == known.rows.end() ? 0 : found->second.row.version;
 }
 
-void FleetView::LogFindings(const std::string& key,
-                            const std::vector<Finding>& findings) {
-  for (const Finding& finding : findings) {
-    log_->Write(EventId::kStoreRowRejected,
-                fmt::format("{}: {}", key, FormatFinding(finding)));
-  }
-}
-
 }  // namespace filbertshift
--- a/src/fleet/fleet_view.h
+++ b/src/fleet/fleet_view.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "src/fleet/document_codec.h"
+#include "src/fleet/finding_log.h"
 #include "src/fleet/member_clock.h"
 #include "src/fleet/member_state.h"
 #include "src/fleet/rollout_driver.h"
@@ -77,6 +78,8 @@
   void OnStoreFailure(TimePoint now);
   // Removes lapsed endpoints whose grace period is over.
   void ExpireLapsed(TimePoint now);
+  // Logs how many findings were left out of the log, if any were.
+  void ReportOmittedFindings(TimePoint now);
 
   // Every table has been read at least once.
   bool complete() const;
@@ -120,6 +123,8 @@
 
  private:
   struct KnownRow {
+    // Invariant: the value is empty if the row names no endpoint; other
+    // instances then get no document that they cannot use either.
     StoreRow row;
     // Latest version at which anything but the heartbeat changed.
     std::int64_t content_version = 0;
@@ -144,22 +149,31 @@
              RowSource source,
              TimePoint now);
   static void RecordRemoval(Table* table, const StoreRow& row);
-  void ApplyOperatorRow(const StoreRow& row);
-  void ApplyConfiguration(const StoreRow& row);
-  void ApplyOrder(const ServiceId& service, const StoreRow& row);
-  // Returns whether anything but the heartbeat changed.
-  bool ApplyEndpointRow(const StoreRow& row, RowSource source, TimePoint now);
+  void ApplyOperatorRow(const StoreRow& row, TimePoint now);
+  void ApplyConfiguration(const StoreRow& row, TimePoint now);
+  void ApplyOrder(const ServiceId& service, const StoreRow& row, TimePoint now);
+  enum class RowEffect {
+    kChanged,
+    // Nothing but the heartbeat changed.
+    kUnchanged,
+    // The row names no endpoint.
+    kUnusable,
+  };
+  RowEffect ApplyEndpointRow(const StoreRow& row,
+                             RowSource source,
+                             TimePoint now);
   void ApplyInstanceRow(const StoreRow& row);
   void AdvanceMemberClock(TimePoint now);
   bool IsOlderBeat(const InstanceId& instance, const MemberState& state) const;
-  void RemoveEndpoint(const EndpointId& endpoint,
-                      RowSource source,
-                      TimePoint now);
-  void LogFindings(const std::string& key,
-                   const std::vector<Finding>& findings);
+  // Removes the endpoint, or lets it lapse during a store outage.
+  void LapseEndpoint(const EndpointId& endpoint,
+                     RowSource source,
+                     TimePoint now);
+  void RemoveEndpoint(const EndpointId& endpoint);
 
   const DocumentCodec& codec_;
   EventLog* const log_;
+  FindingLog finding_log_;
   FleetViewListener* const listener_;
   std::array<Table, kStoreTableCount> tables_;
   // Invariant: the configuration version never decreases.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -159,6 +159,7 @@
 void Gateway::Tick() {
   TimePoint now = transport_->Now();
   view_.ExpireLapsed(now);
+  view_.ReportOmittedFindings(now);
   forwarder_.versions().Expire(now);
   std::vector<LiveInstance> live =
       LiveInstances(view_, {settings_.instance, settings_.peer_listen});
--- a/tests/unit/fleet/odd_row_test.cc
+++ b/tests/unit/fleet/odd_row_test.cc
@@ -205,6 +205,61 @@
   }
 }
 
+// Guards against an endpoint that stays in use although its entry no longer
+// names it: only a missing entry may come back after an outage.
+TEST_CASE("an entry that becomes odd in an outage counts at once", "[fleet]") {
+  Fixture f;
+  f.Put(StoreTable::kEndpoints, {{"e1", Good(1), 1, false}}, 1);
+  f.view.OnStoreFailure(f.now);
+  f.Put(StoreTable::kEndpoints, {{"e1", "{}", 2, false}}, 2);
+  CHECK(f.Endpoints().empty());
+}
+
+// Guards against a full log, and against a view that is too large for peers.
+TEST_CASE("ten thousand odd entries cost little", "[fleet]") {
+  constexpr int kRows = 10000;
+  const std::string odd = With("slots", "1e300") + std::string(2000, ' ');
+  Fixture f;
+  for (std::int64_t round = 0; round < 3; ++round) {
+    std::vector<StoreRow> rows;
+    for (int i = 0; i < kRows; ++i) {
+      rows.push_back(
+          {fmt::format("odd-{}", i), odd, 1 + round * kRows + i, false});
+    }
+    f.Put(StoreTable::kEndpoints, rows, (round + 1) * kRows);
+    f.now += milliseconds(1000);
+  }
+  f.Put(StoreTable::kEndpoints, {{"e1", Good(1), 100000, false}}, 100000);
+  CHECK(f.Endpoints() == std::vector<std::string>{"e1"});
+  CHECK(f.Findings() <= 200);
+  CHECK(f.Findings() > 0);
+  f.view.ReportOmittedFindings(f.now + milliseconds(20000));
+  CHECK(f.log.counts[EventId::kStoreFindingsOmitted] == 1);
+  CHECK(f.log.latest == fmt::format("findings={}", 3 * kRows - f.Findings()));
+  PeerView message;
+  message.tables.push_back(
+      {f.view.ChangesSince(StoreTable::kEndpoints, -1), milliseconds(0)});
+  std::string bytes = EncodePeerView(message);
+  CHECK(bytes.size() < std::size_t{1024} * 1024);
+  PeerView received = DecodePeerView(bytes);
+  Fixture peer;
+  CHECK(peer.view.ApplyPeerChanges(received.tables.at(0).changes, peer.now));
+  CHECK(peer.Endpoints() == std::vector<std::string>{"e1"});
+  CHECK(peer.view.as_of(StoreTable::kEndpoints) == 100000);
+}
+
+// Guards against log lines as large as the row.
+TEST_CASE("a finding in a large row is a short line", "[fleet]") {
+  Fixture f;
+  const std::string large(60000, 'x');
+  f.Put(StoreTable::kEndpoints,
+        {{"e1", With("state", "\"" + large + "\""), 1, false},
+         {"e2", With("note", "\"" + large + "\xff\""), 2, false}},
+        2);
+  CHECK(f.Findings() == 2);
+  CHECK(f.log.bytes < 1000);
+}
+
 // Guards against instances that end: copying, encoding and decoding a deep
 // document recurse.
 TEST_CASE("a deep document is refused on a small stack", "[fleet]") {
