Take no connection again on which bytes wait to be read

A request could be written to a kept connection on which a late copy of an answer, or its end, had already arrived: idle connections with such bytes are dropped when they are read, but until then they wait in the kernel. The copy was then read as the answer to the new request.

The client now looks for unread bytes (a peek that does not block) before it takes an idle connection, and opens another one if there are any. Ruled out: bytes in the same read as an answer, and bytes read while a connection is idle, ended it before as well.

Beside it: the loop reads IPv6 addresses with brackets, as the settings have them, and a timer of any duration stays within the range of the clock.

--- a/src/gateway/http_client.cc
+++ b/src/gateway/http_client.cc
@@ -77,7 +77,8 @@
     }
     auto idle = now - connection->idle_since;
     if (idle <= max_idle &&
-        idle + kPeerIdleMargin <= connection->peer_idle_limit) {
+        idle + kPeerIdleMargin <= connection->peer_idle_limit &&
+        !transport_->HasUnreadData(id)) {
       return id;
     }
     Drop(id);
@@ -106,6 +107,7 @@
   connection->skipped = 0;
   connection->interim = 0;
   connection->last = false;
+  ++connection->requests;
   connection->parser.Reset();
   calls_[Number(call)] = id;
   if (connection->connected) {
@@ -122,6 +124,15 @@
          connections_.at(Number(found->second))->connected;
 }
 
+bool HttpClient::HasOwnConnection(CallId call) const {
+  auto found = calls_.find(Number(call));
+  if (found == calls_.end()) {
+    return false;
+  }
+  const Connection& connection = *connections_.at(Number(found->second));
+  return connection.requests == 1 && connection.skipped == 0;
+}
+
 void HttpClient::Cancel(CallId call) {
   auto found = calls_.find(Number(call));
   if (found == calls_.end()) {
--- a/src/gateway/http_client.h
+++ b/src/gateway/http_client.h
@@ -62,6 +62,9 @@
                CallListener* listener);
   // Whether any byte of the request may have been sent.
   bool IsSent(CallId call) const;
+  // Whether the connection has carried no other request, and no response to
+  // another one. A response is then to this call even if it names no request.
+  bool HasOwnConnection(CallId call) const;
   // Aborts the call and its connection; the listener is not notified.
   void Cancel(CallId call);
   // Closes all idle connections to the address.
@@ -83,7 +86,10 @@
     // The listener has received the head of the current response.
     bool head_reported = false;
     bool skipping = false;
+    // Responses skipped before the one to the current request.
     int skipped = 0;
+    // Requests since the connection opened, with the current one.
+    int requests = 0;
     // Interim responses to the current request.
     int interim = 0;
     // The connection ends with the current response.
--- a/src/net/tcp_loop.cc
+++ b/src/net/tcp_loop.cc
@@ -7,7 +7,9 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <charconv>
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
 
 namespace filbertshift {
 
@@ -31,16 +33,16 @@
 
 // Throws boost::system::system_error for a malformed address.
 tcp::endpoint ParseAddress(const std::string& address) {
-  std::size_t colon = address.rfind(':');
-  unsigned port = 0;
-  if (colon != std::string::npos) {
-    const char* end = address.data() + address.size();
-    auto result = std::from_chars(address.data() + colon + 1, end, port);
-    if (result.ec == std::errc() && result.ptr == end && port > 0 &&
-        port <= 65535) {
-      return {asio::ip::make_address(address.substr(0, colon)),
-              static_cast<std::uint16_t>(port)};
+  try {
+    TcpAddress parsed = ParseTcpAddress(address);
+    tcp::endpoint endpoint;
+    endpoint.resize(parsed.size);
+    std::memcpy(endpoint.data(), parsed.get(), parsed.size);
+    if (endpoint.port() > 0) {
+      return endpoint;
     }
+  } catch (const std::invalid_argument&) {
+    // Reported as a system error like the failures of the socket calls.
   }
   throw boost::system::system_error(
       make_error_code(boost::system::errc::invalid_argument), address);
@@ -306,6 +308,17 @@
                                 });
 }
 
+bool TcpLoop::HasUnreadData(ConnectionId id) {
+  Connection* connection = Find(id);
+  if (connection == nullptr || !connection->connected) {
+    return false;
+  }
+  char byte = 0;
+  ssize_t size = recv(connection->socket.native_handle(), &byte, sizeof(byte),
+                      MSG_PEEK | MSG_DONTWAIT);
+  return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 std::size_t TcpLoop::UnsentBytes(ConnectionId id) const {
   auto found = connections_.find(Number(id));
   return found == connections_.end()
@@ -354,7 +367,7 @@
 }
 
 TimerId TcpLoop::After(milliseconds delay, std::function<void()> action) {
-  TimePoint time = Now() + std::max(delay, milliseconds(0));
+  TimePoint time = Now() + std::clamp(delay, milliseconds(0), kMaxDuration);
   std::uint64_t number = ++last_id_;
   timers_.emplace(std::make_pair(time, number), std::move(action));
   timer_times_.emplace(number, time);
--- a/src/net/tcp_loop.h
+++ b/src/net/tcp_loop.h
@@ -40,6 +40,7 @@
                        ConnectionListener* listener) override;
   void Send(ConnectionId connection, std::string_view data) override;
   std::size_t UnsentBytes(ConnectionId connection) const override;
+  bool HasUnreadData(ConnectionId connection) override;
   void Close(ConnectionId connection) override;
   void Abort(ConnectionId connection) override;
   TimerId After(std::chrono::milliseconds delay,
--- a/src/net/transport.h
+++ b/src/net/transport.h
@@ -60,6 +60,9 @@
   virtual void Send(ConnectionId connection, std::string_view data) = 0;
   // Number of buffered bytes; 0 for a connection that has ended.
   virtual std::size_t UnsentBytes(ConnectionId connection) const = 0;
+  // Whether bytes, or the end of the connection, have arrived that the listener
+  // has not been told of yet.
+  virtual bool HasUnreadData(ConnectionId connection) = 0;
   // Ends the connection after the buffered bytes are sent. The listener is not
   // called any more.
   virtual void Close(ConnectionId connection) = 0;
--- a/tests/unit/support/fake_transport.cc
+++ b/tests/unit/support/fake_transport.cc
@@ -15,7 +15,7 @@
                                     ConnectionListener* listener) {
   ConnectionId id{++last_id_};
   connections_[Number(id)] =
-      Connection{address, listener, "", false, false, false};
+      Connection{address, listener, "", false, false, false, ""};
   if (down_.count(address) > 0) {
     After(timeout, [this, id] { End(id, ConnectionEnd::kConnectFailed); });
     return id;
@@ -61,11 +61,24 @@
 
 ConnectionId FakeTransport::Accept(AcceptListener* listener) {
   ConnectionId id{++last_id_};
-  connections_[Number(id)] = Connection{"", listener, "", true, false, false};
+  connections_[Number(id)] =
+      Connection{"", listener, "", true, false, false, ""};
   listener->OnAccepted(id);
   return id;
 }
 
+void FakeTransport::Hold(ConnectionId connection, std::string_view data) {
+  if (IsOpen(connection)) {
+    At(connection).unread.append(data);
+  }
+}
+
+void FakeTransport::Deliver(ConnectionId connection) {
+  if (IsOpen(connection)) {
+    Receive(connection, std::exchange(At(connection).unread, std::string()));
+  }
+}
+
 void FakeTransport::Receive(ConnectionId connection, std::string_view data) {
   if (IsOpen(connection)) {
     At(connection).listener->OnData(connection, data);
--- a/tests/unit/support/fake_transport.h
+++ b/tests/unit/support/fake_transport.h
@@ -23,6 +23,8 @@
     bool connected = false;
     bool closed = false;
     bool aborted = false;
+    // Received, but not yet passed to the listener.
+    std::string unread;
   };
 
   ConnectionId Connect(const std::string& address,
@@ -30,6 +32,9 @@
                        ConnectionListener* listener) override;
   void Send(ConnectionId connection, std::string_view data) override;
   std::size_t UnsentBytes(ConnectionId) const override { return 0; }
+  bool HasUnreadData(ConnectionId connection) override {
+    return IsOpen(connection) && !At(connection).unread.empty();
+  }
   void Close(ConnectionId connection) override;
   void Abort(ConnectionId connection) override;
   TimerId After(std::chrono::milliseconds delay,
@@ -41,6 +46,9 @@
   void SetDown(const std::string& address) { down_.insert(address); }
   ConnectionId Accept(AcceptListener* listener);
   void Receive(ConnectionId connection, std::string_view data);
+  // The data arrives, and Deliver passes it to the listener.
+  void Hold(ConnectionId connection, std::string_view data);
+  void Deliver(ConnectionId connection);
   void End(ConnectionId connection, ConnectionEnd end);
   // Advances the clock and runs the timers that become due, in order.
   void Advance(std::chrono::milliseconds time);
--- a/tests/unit/support/sim_network.h
+++ b/tests/unit/support/sim_network.h
@@ -30,6 +30,7 @@
                        ConnectionListener* listener) override;
   void Send(ConnectionId connection, std::string_view data) override;
   std::size_t UnsentBytes(ConnectionId) const override { return 0; }
+  bool HasUnreadData(ConnectionId) override { return false; }
   void Close(ConnectionId connection) override;
   void Abort(ConnectionId connection) override;
   TimerId After(std::chrono::milliseconds delay,
