Trust no refusal without an id on a connection that others have used

A faulty endpoint that writes an earlier refusal once more made callers read "not run, try again" (503) for a request that it had run or was running, or the request ran at a second endpoint: a refusal without an id counted as the answer to the request that was due, on each connection.

Such a refusal now counts only if its connection has carried no other request and no answer to another one. Otherwise the state of the request is unknown: it is not repeated unless it may be, and the answer is 502. Refusals that bear the id of the request count everywhere, as before; those of another id are skipped, and the connection of an answer without an id is not used again, as before.

Failed before: "a refusal without an id on a used connection promises nothing" (48 of 128 checks; 503, 429, 421 and 400, with and without a body, whole and byte by byte), "a refusal without an id after a foreign one promises nothing", "the seal of a copied refusal changes nothing". They pass now.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -35,6 +35,9 @@
   ResponseMetadata response_metadata;
   // The response carries the id of this request.
   bool names_request = false;
+  // The response can only be to this request: it carries the id, or nothing
+  // else was on its connection.
+  bool own_response = false;
   // Body of a response that is not streamed.
   std::string body;
   EventSplitter events;
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -86,6 +86,8 @@
   attempt.head = head;
   attempt.response_metadata = response_metadata;
   attempt.names_request = !response_metadata.request_id.empty();
+  attempt.own_response =
+      attempt.names_request || client_.HasOwnConnection(call);
   attempt.progress_at = now;
   attempt.first_byte_at = now;
   auto waited = duration_cast<microseconds>(now - attempt.started_at);
@@ -321,8 +323,11 @@
   int status = attempt.head.status;
   exchange->failure_detail = fmt::format("status {}", status);
   if (attempt.response_metadata.not_run) {
+    // Otherwise it may be a copy of a refusal of another request.
+    bool refused = attempt.own_response;
+    exchange->runs += refused ? 0 : 1;
     EndAttempt(exchange, AttemptResult::kRefused);
-    Repeat(exchange, "refused");
+    Repeat(exchange, refused ? "refused" : "unnamed_refusal");
     return;
   }
   ++exchange->runs;
