End connections of filbertshiftd after refusals without an id

An endpoint that writes such a refusal (429 or 503) once more on the kept connection made filbertshiftd take it as the refusal of the next request, which then ran at a second endpoint or was reported as not run.

The connection now ends with the refusal. Ruled out: an answer with another id is dropped and the request counts as possibly run; bytes that arrive while a connection is idle end it.

"endpoint client ends a connection after a refusal without an id" failed before and passes now. "endpoint client uses no connection with a late copy" and "endpoint client keeps a connection after a refusal with an id" passed before and after.

--- a/src/endpoint/endpoint_attempts.cc
+++ b/src/endpoint/endpoint_attempts.cc
@@ -18,6 +18,8 @@
 constexpr int kMaxVerifications = 3;
 
 constexpr int kHttpOk = 200;
+constexpr int kHttpTooManyRequests = 429;
+constexpr int kHttpUnavailable = 503;
 
 // Returns the time of the response by the endpoint's clock; zero if unknown.
 std::chrono::milliseconds EndpointTime(const EndpointMetrics& metrics,
@@ -211,6 +213,9 @@
     // EndTransfer closes connections that are not verified by then.
     probe = EvaluateProbe(transfer, result);
   }
+  if (transfer->kind == TransferKind::kSend) {
+    DropAfterUnnamedRefusal(*transfer);
+  }
   EndTransfer(transfer);
   const bool retried_by_curl = transfer->write_count > 1;
   if (transfer->lost_incarnation != Incarnation() &&
@@ -231,6 +236,19 @@
   transfers_.erase(id);
 }
 
+// A second copy of such a refusal could not be told apart from the response to
+// a later request on the connection.
+void EndpointLoop::DropAfterUnnamedRefusal(const Transfer& transfer) {
+  const ResponseReader& reader = *transfer.reader;
+  const bool refusal = reader.http_status() == kHttpTooManyRequests ||
+                       reader.http_status() == kHttpUnavailable;
+  Connection* connection = connections_.Find(transfer.descriptor);
+  if (refusal && FindHeader(reader.headers(), "X-Request-Id").empty() &&
+      connection != nullptr && connection->transfer == transfer.id) {
+    connection->verified_incarnation = Incarnation();
+  }
+}
+
 ProbeResult EndpointLoop::EvaluateProbe(Transfer* transfer, CURLcode result) {
   ProbeResult probe;
   probe.endpoint = transfer->endpoint;
--- a/src/endpoint/endpoint_loop.h
+++ b/src/endpoint/endpoint_loop.h
@@ -124,6 +124,7 @@
   void EndAttempt(Attempt* attempt, AttemptOutcome outcome, std::string detail);
 
   // Evaluates the response to a probe and marks its connection as verified.
+  void DropAfterUnnamedRefusal(const Transfer& transfer);
   ProbeResult EvaluateProbe(Transfer* transfer, CURLcode result);
   void MarkVerified(const Transfer& transfer, Incarnation incarnation);
   void MakeIdle(int descriptor);
--- a/tests/unit/endpoint/endpoint_test.cc
+++ b/tests/unit/endpoint/endpoint_test.cc
@@ -379,6 +379,68 @@
   }
 }
 
+// Guards against a request that is taken as refused, and sent again, because an
+// earlier refusal was written once more on its connection.
+TEST_CASE("endpoint client ends a connection after a refusal without an id",
+          "[endpoint]") {
+  const int status = GENERATE(429, 503);
+  const std::string refusal = "HTTP/1.1 " + std::to_string(status) +
+                              " X\r\nX-Not-Run: true\r\n"
+                              "Content-Length: 4\r\n\r\nbusy";
+  FakeEndpoint endpoint(kFirstIncarnation, RespondWith(refusal, true));
+  Client client;
+  for (int i = 0; i < 2; ++i) {
+    client.Start("a" + std::to_string(i), endpoint);
+    CHECK(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+  }
+  const auto requests = endpoint.requests();
+  REQUIRE(requests.size() == 2);
+  CHECK(requests[0].connection != requests[1].connection);
+}
+
+TEST_CASE("endpoint client keeps a connection after a refusal with an id",
+          "[endpoint]") {
+  FakeEndpoint endpoint(
+      kFirstIncarnation, [](const TestSocket& socket, const std::string& text) {
+        const std::size_t start = text.find("X-Request-Id: ");
+        const std::string line =
+            text.substr(start, text.find("\r\n", start) + 2 - start);
+        return socket.Write("HTTP/1.1 503 X\r\nX-Not-Run: true\r\n" + line +
+                            "Content-Length: 0\r\n\r\n");
+      });
+  Client client;
+  for (int i = 0; i < 2; ++i) {
+    client.Start("a" + std::to_string(i), endpoint);
+    CHECK(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+  }
+  CHECK(endpoint.requests().at(1).connection == 0);
+}
+
+// As above, with a copy that arrives while the connection is idle.
+TEST_CASE("endpoint client uses no connection with a late copy", "[endpoint]") {
+  const std::string copy =
+      "HTTP/1.1 503 X\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n";
+  std::atomic<bool> copied{false};
+  FakeEndpoint endpoint(kFirstIncarnation,
+                        [&](const TestSocket& socket, const std::string&) {
+                          socket.Write(kOkResponse);
+                          std::this_thread::sleep_for(milliseconds(5));
+                          socket.Write(copy);
+                          copied = true;
+                          return true;
+                        });
+  Client client;
+  for (int i = 0; i < 5; ++i) {
+    copied = false;
+    client.Start("a" + std::to_string(i), endpoint);
+    CHECK(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+    CHECK(client.TakeBody() == "{}");
+    while (!copied) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  }
+}
+
 // Guards against an outcome that contradicts whether the request was sent: for
 // an unreachable endpoint it must be kNotSent, without an AttemptSent message.
 TEST_CASE("endpoint client reports an unreachable endpoint as not sent",
