Break off a chunk line without end in filbertshiftd

An endpoint that sends the line of a chunk without end kept its attempt until the caller's deadline: libcurl passes on no byte of it, so that the limit of the response did not see it. The test read 64 MB without an end.

The bytes on the wire are now compared with eight times the limit. Ruled out: endless interim answers, status lines, header fields, trailers and bodies were broken off before.

"endpoint client breaks off a response without end" failed before in this case and passes now.

--- a/src/endpoint/connection_table.cc
+++ b/src/endpoint/connection_table.cc
@@ -1,5 +1,6 @@
 #include "src/endpoint/connection_table.h"
 
+#include <linux/tcp.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -119,4 +120,12 @@
   return received == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+std::uint64_t BytesReceived(int descriptor) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+             ? info.tcpi_bytes_received
+             : 0;
+}
+
 }  // namespace filbertshift
--- a/src/endpoint/connection_table.h
+++ b/src/endpoint/connection_table.h
@@ -61,6 +61,9 @@
 // unsolicited bytes. A connection in use may have unread bytes.
 bool PeerHasClosed(int descriptor, bool in_use);
 
+// Bytes received on the connection since it opened; 0 if it has ended.
+std::uint64_t BytesReceived(int descriptor);
+
 }  // namespace filbertshift
 
 #endif  // SRC_ENDPOINT_CONNECTION_TABLE_H_
--- a/src/endpoint/endpoint_attempts.cc
+++ b/src/endpoint/endpoint_attempts.cc
@@ -202,10 +202,19 @@
   }
   ++transfer->write_count;
   transfer->descriptor = connection->descriptor;
+  transfer->received_before = BytesReceived(connection->descriptor);
   connection->transfer = transfer->id;
   return true;
 }
 
+// libcurl does not pass on all bytes of a chunked response: the line of a chunk
+// may have an extension without end.
+bool EndpointLoop::OnProgress(Transfer* transfer) {
+  const std::uint64_t received = BytesReceived(transfer->descriptor);
+  return transfer->write_count == 0 || received < transfer->received_before ||
+         transfer->reader->CheckReceived(received - transfer->received_before);
+}
+
 void EndpointLoop::Finish(Transfer* transfer, CURLcode result) {
   const TransferId id = transfer->id;
   ProbeResult probe;
--- a/src/endpoint/endpoint_loop.h
+++ b/src/endpoint/endpoint_loop.h
@@ -74,6 +74,7 @@
   bool OnHeaderLine(Transfer* transfer, std::string_view line);
   bool OnBody(Transfer* transfer, std::string_view bytes);
   bool OnBeforeWrite(Transfer* transfer, int local_port);
+  bool OnProgress(Transfer* transfer);
   int OnOpenSocket(Transfer* transfer, const curl_sockaddr& address);
   void OnCloseSocket(int descriptor);
   void OnWatchSocket(int descriptor, int what);
--- a/src/endpoint/response_reader.cc
+++ b/src/endpoint/response_reader.cc
@@ -12,6 +12,8 @@
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
+// A chunk of a few bytes takes about as many for its line.
+constexpr std::uint64_t kMaxWireFactor = 8;
 
 std::string_view Trim(std::string_view text) {
   const std::size_t first = text.find_first_not_of(" \t\r\n");
@@ -61,7 +63,12 @@
 
 bool ResponseReader::CountBytes(std::size_t bytes) {
   byte_count_ += bytes;
-  too_large_ = byte_count_ > max_bytes_;
+  too_large_ = too_large_ || byte_count_ > max_bytes_;
+  return !too_large_;
+}
+
+bool ResponseReader::CheckReceived(std::uint64_t bytes) {
+  too_large_ = too_large_ || bytes / kMaxWireFactor > max_bytes_;
   return !too_large_;
 }
 
--- a/src/endpoint/response_reader.h
+++ b/src/endpoint/response_reader.h
@@ -5,6 +5,7 @@
 #define SRC_ENDPOINT_RESPONSE_READER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
@@ -23,6 +24,9 @@
   bool AddHeaderLine(std::string_view line);
   // Counts bytes of the head or body. Returns false above the limit.
   bool CountBytes(std::size_t bytes);
+  // Returns false if the response takes many more bytes on the wire than its
+  // limit, with the lines of its chunks.
+  bool CheckReceived(std::uint64_t bytes);
 
   int http_status() const { return http_status_; }
   const std::vector<HttpHeader>& headers() const { return headers_; }
--- a/src/endpoint/transfer.cc
+++ b/src/endpoint/transfer.cc
@@ -38,6 +38,15 @@
              : CURL_PREREQFUNC_ABORT;
 }
 
+int OnProgress(void* user_data,
+               curl_off_t,
+               curl_off_t,
+               curl_off_t,
+               curl_off_t) {
+  auto* transfer = static_cast<Transfer*>(user_data);
+  return transfer->loop->OnProgress(transfer) ? 0 : 1;
+}
+
 curl_socket_t OnOpenSocket(void* user_data,
                            curlsocktype,
                            curl_sockaddr* address) {
@@ -126,6 +135,9 @@
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeWrite);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
+  curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, &OnProgress);
+  curl_easy_setopt(easy, CURLOPT_XFERINFODATA, transfer);
+  curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OnOpenSocket);
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, transfer);
   // Connections outlive the transfer that opened them.
--- a/src/endpoint/transfer.h
+++ b/src/endpoint/transfer.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -58,6 +59,8 @@
   std::array<char, CURL_ERROR_SIZE> error{};
   // The connection in use; -1 if there is none or it has been closed.
   int descriptor = -1;
+  // Bytes received on that connection before the request was written.
+  std::uint64_t received_before = 0;
   // How often libcurl was about to write the request; more than once if it
   // retries.
   int write_count = 0;
--- a/tests/unit/endpoint/endpoint_test.cc
+++ b/tests/unit/endpoint/endpoint_test.cc
@@ -441,6 +441,48 @@
   }
 }
 
+// Guards against bytes that never end and that are not part of a body: the
+// attempt would read them until its caller gives up.
+TEST_CASE("endpoint client breaks off a response without end", "[endpoint]") {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string filler(1000, 'x');
+  const std::pair<std::string, std::string> responses[] = {
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", "HTTP/1.1 103 Early Hints\r\nLink: " + filler + "\r\n\r\n"},
+      {"HTTP/1.1 200 ", filler},
+      {"HTTP/1.1 200 OK\r\n", "X-Field: " + filler + "\r\n"},
+      {"HTTP/1.1 200 OK\r\nX-Field: ", filler},
+      {chunked + "1;", filler},
+      {chunked + "1\r\na\r\n0\r\n", "X-Trailer: " + filler + "\r\n"},
+      {chunked, "3e8\r\n" + filler + "\r\n"},
+      {"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n",
+       "3e8\r\n" + filler + "\r\n"},
+      {"HTTP/1.1 200 OK\r\n\r\n", filler},
+  };
+  for (const auto& [start, part] : responses) {
+    INFO(start << part.substr(0, 40));
+    std::atomic<std::size_t> written{0};
+    constexpr std::size_t kLimit = std::size_t{64} * 1024 * 1024;
+    FakeEndpoint endpoint(kFirstIncarnation,
+                          [&, first = start, rest = part](
+                              const TestSocket& socket, const std::string&) {
+                            bool open = socket.Write(first);
+                            while (open && written < kLimit) {
+                              open = socket.Write(rest);
+                              written += rest.size();
+                            }
+                            return false;
+                          });
+    Client client;
+    client.Start("a1", endpoint);
+    const AttemptEnd end = client.TakeEnd();
+    CHECK(end.outcome != AttemptOutcome::kComplete);
+    CHECK(written < kLimit);
+  }
+}
+
 // Guards against an outcome that contradicts whether the request was sent: for
 // an unreachable endpoint it must be kNotSent, without an AttemptSent message.
 TEST_CASE("endpoint client reports an unreachable endpoint as not sent",
