Follow the instance list of filbertshiftd beside odd entries

One entry that could not be read made the whole list malformed: the instances kept the last one as long as the entry stayed, and used no new endpoint. A reply of the table service that is nested 100,000 deep ended the process, and one whose "Responses" is no object was taken for rows that do not exist.

Each odd entry is now left out, with one line of FS1748 when this changes; the others are in use. A list of which no entry can be read is still malformed, as it would take all endpoints out of use. Replies are read with limited depth.

Failed before: "one odd entry of the instance list costs only itself", "a deep reply of a backing service is malformed" (segmentation fault). "malformed reads are errors" excepted the case of "Responses" until now and is stricter: with the case it failed before.

--- a/src/backing_services/backing_services_worker.cc
+++ b/src/backing_services/backing_services_worker.cc
@@ -294,11 +294,11 @@
   RatingReply reply;
   reply.operation = call.operation;
   if (result.complete && result.status == 200) {
-    const Json body = Json::parse(result.body, nullptr, false);
-    if (body.is_object() && body.contains("score") &&
-        body["score"].is_number()) {
-      reply.score = body["score"].get<double>();
-      reply.ok = reply.score >= 0 && reply.score <= 1;
+    try {
+      reply.score = ToNumber(ParseJson(result.body).at("score"), 0, 1);
+      reply.ok = true;
+    } catch (const std::exception&) {
+      // A rating that cannot be read is none.
     }
   }
   Reply(reply);
@@ -316,6 +316,12 @@
   if (instance_list_ok_ && !list.ok) {
     log_.Write(EventId::kInstanceListStale, list.detail);
   }
+  if (list.ok && !list.detail.empty() && list.detail != entry_findings_) {
+    log_.Write(EventId::kInstanceEntriesIgnored, list.detail);
+  }
+  if (list.ok) {
+    entry_findings_ = list.detail;
+  }
   instance_list_ok_ = list.ok;
   Reply(std::move(list));
 }
--- a/src/backing_services/backing_services_worker.h
+++ b/src/backing_services/backing_services_worker.h
@@ -75,6 +75,8 @@
   TimePoint next_instance_poll_;
   bool instance_poll_running_ = false;
   bool instance_list_ok_ = true;
+  // What was last logged about entries that were ignored.
+  std::string entry_findings_;
 
   std::thread thread_;
 };
--- a/src/backing_services/table_protocol.cc
+++ b/src/backing_services/table_protocol.cc
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string_view>
 
+#include "src/common/document_reader.h"
+
 namespace filbertshift {
 namespace {
 
@@ -23,6 +26,14 @@
     "AccessDeniedException",  "UnrecognizedClientException",
     "LimitExceededException"};
 
+Json ParseOrNull(const std::string& text) {
+  try {
+    return ParseJson(text);
+  } catch (const DocumentError&) {
+    return nullptr;
+  }
+}
+
 std::string Serialize(const Json& json) {
   try {
     return json.dump();
@@ -70,11 +81,21 @@
   return {{"Put", item}};
 }
 
+std::uint64_t ParseVersion(const std::string& text) {
+  std::uint64_t version = 0;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, version);
+  if (result.ec != std::errc() || result.ptr != end) {
+    throw std::invalid_argument("version is not a whole number");
+  }
+  return version;
+}
+
 // Throws Json::exception or std::logic_error.
 TableRow DecodeRow(const Json& item) {
   TableRow row;
   row.key = item.at("pk").at("S").get<std::string>();
-  row.version = std::stoull(item.at("ver").at("N").get<std::string>());
+  row.version = ParseVersion(item.at("ver").at("N").get<std::string>());
   row.value = item.at("v").at("S").get<std::string>();
   return row;
 }
@@ -116,7 +137,7 @@
 }
 
 TableOutcome OutcomeFromRejection(const std::string& text) {
-  const Json body = Json::parse(text, nullptr, false);
+  const Json body = ParseOrNull(text);
   const std::string type = ErrorType(body);
   if (type == "TransactionCanceledException") {
     return OutcomeFromCancellation(body);
@@ -153,6 +174,9 @@
                         const Json& body,
                         ReadPage* page) {
   const Json& responses = body.at("Responses");
+  if (!responses.is_object()) {
+    throw std::invalid_argument("Responses is not an object");
+  }
   if (responses.contains(table)) {
     for (const Json& item : responses.at(table)) {
       page->rows.push_back(DecodeRow(item));
@@ -188,7 +212,7 @@
     return page;
   }
   try {
-    decode(Json::parse(result.body), &page);
+    decode(ParseJson(result.body), &page);
   } catch (const std::exception& error) {
     page = ReadPage();
     page.detail = std::string("malformed reply: ") + error.what();
@@ -243,7 +267,7 @@
   TableReply reply;
   reply.outcome = OutcomeFromHttp(result);
   if (reply.outcome == TableOutcome::kOk &&
-      !Json::parse(result.body, nullptr, false).is_object()) {
+      !ParseOrNull(result.body).is_object()) {
     reply.outcome = TableOutcome::kUnknown;
   }
   if (reply.outcome != TableOutcome::kOk) {
--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -196,6 +196,9 @@
       {EventId::kStoreFindingsOmitted, kWarning, "store_findings_omitted",
        "More rows of the store could not be used than are logged one by one; "
        "the detail has the number of the others."},
+      {EventId::kInstanceEntriesIgnored, kWarning, "instance_entries_ignored",
+       "Some entries of the instance list cannot be read and are ignored; the "
+       "others are in use."},
       {EventId::kInstanceCountChanged, kInfo, "instance_count_changed",
        "The number of live instances that share limits has changed."},
   };
--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -103,6 +103,7 @@
   kViewSourceChanged = 1745,
   kPeerRowRejected = 1746,
   kStoreFindingsOmitted = 1747,
+  kInstanceEntriesIgnored = 1748,
   kInstanceCountChanged = 1750,
 };
 
--- a/src/ports/instance_list.h
+++ b/src/ports/instance_list.h
@@ -45,6 +45,7 @@
   bool ok = false;
   std::vector<EndpointRecord> endpoints;
   std::vector<EntryInstanceRecord> instances;
+  // Why the list could not be read, or which entries were ignored.
   std::string detail;
 };
 
--- a/tests/unit/backing_services/backing_services_client_test.cc
+++ b/tests/unit/backing_services/backing_services_client_test.cc
@@ -12,7 +12,10 @@
 #include <thread>
 
 #include "src/backing_services/backing_services.h"
+#include "src/backing_services/instance_list_format.h"
+#include "src/backing_services/table_protocol.h"
 #include "tests/unit/ledger/fake_table.h"
+#include "tests/unit/support/small_stack.h"
 
 namespace filbertshift {
 namespace {
@@ -301,9 +304,7 @@
   Client client(server.address());
   client.backing_services.Get(OperationId{1}, std::vector<std::string>{"a"});
   const TableReply reply = client.Wait<TableReply>();
-  if (body != "{\"Responses\":[]}") {
-    CHECK(reply.outcome == TableOutcome::kUnknown);
-  }
+  CHECK(reply.outcome == TableOutcome::kUnknown);
   CHECK(reply.rows.empty());
 }
 
@@ -391,6 +392,67 @@
   CHECK(malformed.endpoints.empty());
 }
 
+// Guards against a list that is no longer followed because of one entry that
+// cannot be read.
+TEST_CASE("one odd entry of the instance list costs only itself",
+          "[platform]") {
+  const std::string odd = GENERATE_COPY(
+      as<std::string>(), "7", "null", "{}", R"({"targets":[]})",
+      R"({"targets":["127.0.0.1:2"],"labels":7})",
+      R"({"targets":["127.0.0.1:2"],"labels":{"id":"e2","data_centre":"d",
+       "role":"plain_service","service":"s","state":"asleep"}})",
+      R"({"targets":["127.0.0.1:2"],"labels":{"id":"","data_centre":"d",
+       "role":"plain_service","service":"s","state":"live"}})",
+      R"({"targets":["127.0.0.1:2"],"labels":{"id":"e\r\n2",
+       "data_centre":"d","role":"plain_service","service":"s",
+       "state":"live"}})",
+      R"({"targets":["127.0.0.1:70000"],"labels":{"id":"e2",
+       "data_centre":"d","role":"plain_service","service":"s",
+       "state":"live"}})",
+      R"({"targets":["host:80"],"labels":{"id":"e2","data_centre":"d",
+       "role":"plain_service","service":"s","state":"live"}})");
+  INFO(odd);
+  const std::string good =
+      R"({"targets":["127.0.0.1:1"],"labels":{"id":"e1","data_centre":"d",
+       "role":"model_engine","model":"m","version":"v","state":"live"}})";
+  ScriptedServer server([&](const ServerRequest&) {
+    return ServerReply{200, "[" + odd + "," + good + "]"};
+  });
+  BackingServicesOptions options;
+  options.instance_list_address = server.address();
+  options.instance_list_poll_interval = std::chrono::milliseconds(20);
+  Client client("127.0.0.1:1");
+  BackingServicesClient poller(options, client.core, client.log);
+  for (int i = 0; i < 3; ++i) {
+    const auto read = client.Wait<InstanceListRead>();
+    CHECK(read.ok);
+    REQUIRE(read.endpoints.size() == 1);
+    CHECK(read.endpoints[0].endpoint == EndpointId("e1"));
+    CHECK_FALSE(read.detail.empty());
+  }
+}
+
+// Guards against a process that ends: copying a deep document recurses.
+TEST_CASE("a deep reply of a backing service is malformed", "[platform]") {
+  const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+  const HttpResult result = [&deep] {
+    HttpResult reply;
+    reply.sent = true;
+    reply.complete = true;
+    reply.status = 200;
+    reply.body = "{\"Responses\":{},\"UnprocessedKeys\":{\"t\":" + deep + "}}";
+    return reply;
+  }();
+  TableOutcome outcome = TableOutcome::kOk;
+  bool ok = true;
+  RunOnSmallStack([&] {
+    outcome = DecodeBatchGet("t", result).outcome;
+    ok = DecodeInstanceList(deep).ok;
+  });
+  CHECK(outcome == TableOutcome::kUnknown);
+  CHECK_FALSE(ok);
+}
+
 // Guards against scores outside the scale, which would skip an escalation.
 TEST_CASE("scores outside 0 to 1 are rejected", "[platform]") {
   const std::string body =
