Refuse deep requests and events in filbertshiftd

A caller ended the process with a request nested 100,000 deep, and an engine with such an event: copying and encoding a document recurse. A token limit above the range of its type wrapped to a small number.

A larger limit is as good as none. A key that a request has twice is still read as the last one.

Failed before: "a deep chat request is refused" and "a deep event of an engine is malformed" (segmentation fault), "a token limit out of range is as good as none". They pass now.

--- a/src/core/chat.cc
+++ b/src/core/chat.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "src/common/document_reader.h"
+
 namespace filbertshift {
 
 namespace {
@@ -42,8 +44,14 @@
   } else if (data == "[DONE]") {
     result.kind = ChatEvent::Kind::kDone;
   } else {
-    result.chunk = json::parse(data, nullptr, false);
-    bool valid = result.chunk.is_object() && !result.chunk.contains("error");
+    bool valid = true;
+    try {
+      result.chunk = ParseJson(data, RepeatedKeys::kUseLast);
+    } catch (const DocumentError&) {
+      valid = false;
+    }
+    valid =
+        valid && result.chunk.is_object() && !result.chunk.contains("error");
     result.kind = valid ? ChatEvent::Kind::kChunk : ChatEvent::Kind::kMalformed;
   }
   return result;
@@ -61,8 +69,17 @@
 
 int GetIntegerOrZero(const json& object, const char* name) {
   auto field = object.find(name);
-  return field != object.end() && field->is_number_integer() ? field->get<int>()
-                                                             : 0;
+  if (field == object.end() || !field->is_number_integer()) {
+    return 0;
+  }
+  // A larger number is as good as no limit.
+  constexpr int kMaxTokens = 1000000000;
+  if (field->is_number_unsigned()) {
+    return static_cast<int>(
+        std::min<std::uint64_t>(field->get<std::uint64_t>(), kMaxTokens));
+  }
+  return static_cast<int>(std::clamp<std::int64_t>(field->get<std::int64_t>(),
+                                                   -kMaxTokens, kMaxTokens));
 }
 
 json UsageJson(const ChatAnswer& answer) {
@@ -219,7 +236,7 @@
   for (const char* limit : {"max_tokens", "max_completion_tokens"}) {
     if (body.contains(limit) && body[limit].is_number_integer()) {
       body[limit] =
-          std::max(1, body[limit].get<int>() - answer.answer_tokens());
+          std::max(1, GetIntegerOrZero(body, limit) - answer.answer_tokens());
     }
   }
   return Dump(body);
--- a/src/core/request_intake.cc
+++ b/src/core/request_intake.cc
@@ -241,11 +241,11 @@
   request.kind = RequestKind::kChat;
   request.caller = call.caller;
   try {
-    request.chat_body = json::parse(call.body);
-  } catch (const json::parse_error& error) {
+    request.chat_body = ParseJson(call.body, RepeatedKeys::kUseLast);
+  } catch (const DocumentError& error) {
     return MakeBadRequestError(
         "invalid_json",
-        fmt::format("the body is not valid JSON at byte {}", error.byte));
+        fmt::format("the body is not valid JSON: {}", error.what()));
   }
   if (auto error = CheckChatBody(request.chat_body)) {
     return *error;
--- a/tests/unit/core/core_fixture.cc
+++ b/tests/unit/core/core_fixture.cc
@@ -255,6 +255,14 @@
   return Submit(std::move(request));
 }
 
+CallerId CoreFixture::ChatWithBody(std::string body) {
+  CallerRequest request;
+  request.method = "POST";
+  request.path = "/v1/chat/completions";
+  request.body = std::move(body);
+  return Submit(std::move(request));
+}
+
 CallerId CoreFixture::Post(const std::string& path,
                            const std::string& key,
                            const std::string& body) {
--- a/tests/unit/core/core_fixture.h
+++ b/tests/unit/core/core_fixture.h
@@ -105,6 +105,7 @@
   CallerId Chat(const std::string& prompt,
                 bool stream,
                 std::vector<HttpHeader> headers = {});
+  CallerId ChatWithBody(std::string body);
   CallerId Post(const std::string& path,
                 const std::string& key,
                 const std::string& body);
--- a/tests/unit/core/core_test.cc
+++ b/tests/unit/core/core_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "tests/unit/core/core_fixture.h"
+#include "tests/unit/support/small_stack.h"
 
 namespace filbertshift {
 namespace {
@@ -69,6 +70,55 @@
   CHECK(fixture.StreamText(caller) == "own");
 }
 
+// Guards against a process that a caller's request ends: copying and encoding
+// a deep document recurse.
+TEST_CASE("a deep chat request is refused", "[core]") {
+  const std::string field =
+      GENERATE(as<std::string>(), "metadata", "stream_options", "messages", "n",
+               "model");
+  INFO(field);
+  const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+  CoreFixture fixture;
+  CallerId caller{};
+  RunOnSmallStack([&] {
+    caller = fixture.ChatWithBody(
+        R"({"messages":[{"role":"user","content":"x"}],"model":"small",")" +
+        field + "\":" + deep + "}");
+  });
+  CHECK(fixture.Record(caller).http_status == 400);
+  CHECK(fixture.ErrorField(caller, "code") == "invalid_json");
+  CHECK(fixture.endpoints.started.empty());
+}
+
+// Guards against a process that an engine's answer ends.
+TEST_CASE("a deep event of an engine is malformed", "[core]") {
+  const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+  CoreFixture fixture;
+  fixture.Chat("draft", true);
+  AttemptSpec first = fixture.LastAttempt();
+  fixture.Sent(first);
+  fixture.Head(first, 200, {{"Content-Type", "text/event-stream"}});
+  RunOnSmallStack([&] {
+    fixture.core.Handle(AttemptData{
+        first.attempt,
+        R"(data: {"choices":[{"delta":{"content":"x","tool_calls":[{"id":)" +
+            deep + "}]}}]}\n\n"});
+  });
+  CHECK(fixture.endpoints.cancelled == std::vector<AttemptId>{first.attempt});
+}
+
+// Guards against a limit that wraps to a small or negative number of tokens.
+TEST_CASE("a token limit out of range is as good as none", "[core]") {
+  for (const char* limit :
+       {"4294967297", "9223372036854775807", "18446744073709551615"}) {
+    INFO(limit);
+    CHECK(TokenLimit(nlohmann::json::parse(std::string("{\"max_tokens\":") +
+                                           limit + "}")) >= 1000000);
+  }
+  CHECK(TokenLimit({{"max_tokens", -5}}) == 0);
+  CHECK(TokenLimit({{"max_tokens", 5}}) == 5);
+}
+
 // Guards against a second execution of a non-repeatable call, by a retry of the
 // router or by a later request with the same idempotency key.
 TEST_CASE("a broken non-repeatable call is never sent again", "[core]") {
