--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -102,6 +102,8 @@
   kPeerViewFailed = 1744,
   kViewSourceChanged = 1745,
   kPeerRowRejected = 1746,
+  kStoreFindingsOmitted = 1747,
+  kInstanceEntriesIgnored = 1748,
   kInstanceCountChanged = 1750,
   kCallerRequestCut = 1760,
   kEndpointCrashed = 1780,
--- a/src/endpoint/endpoint_loop.h
+++ b/src/endpoint/endpoint_loop.h
@@ -74,6 +74,7 @@
   bool OnHeaderLine(Transfer* transfer, std::string_view line);
   bool OnBody(Transfer* transfer, std::string_view bytes);
   bool OnBeforeWrite(Transfer* transfer, int local_port);
+  bool OnProgress(Transfer* transfer);
   int OnOpenSocket(Transfer* transfer, const curl_sockaddr& address);
   void OnCloseSocket(int descriptor);
   void OnWatchSocket(int descriptor, int what);
@@ -124,6 +125,7 @@
   void EndAttempt(Attempt* attempt, AttemptOutcome outcome, std::string detail);
 
   // Evaluates the response to a probe and marks its connection as verified.
+  void DropAfterUnnamedRefusal(const Transfer& transfer);
   ProbeResult EvaluateProbe(Transfer* transfer, CURLcode result);
   void MarkVerified(const Transfer& transfer, Incarnation incarnation);
   void MakeIdle(int descriptor);
--- a/tests/unit/endpoint/endpoint_test.cc
+++ b/tests/unit/endpoint/endpoint_test.cc
@@ -379,6 +379,110 @@
   }
 }
 
+// Guards against a request that is taken as refused, and sent again, because an
+// earlier refusal was written once more on its connection.
+TEST_CASE("endpoint client ends a connection after a refusal without an id",
+          "[endpoint]") {
+  const int status = GENERATE(429, 503);
+  const std::string refusal = "HTTP/1.1 " + std::to_string(status) +
+                              " X\r\nX-Not-Run: true\r\n"
+                              "Content-Length: 4\r\n\r\nbusy";
+  FakeEndpoint endpoint(kFirstIncarnation, RespondWith(refusal, true));
+  Client client;
+  for (int i = 0; i < 2; ++i) {
+    client.Start("a" + std::to_string(i), endpoint);
+    CHECK(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+  }
+  const auto requests = endpoint.requests();
+  REQUIRE(requests.size() == 2);
+  CHECK(requests[0].connection != requests[1].connection);
+}
+
+TEST_CASE("endpoint client keeps a connection after a refusal with an id",
+          "[endpoint]") {
+  FakeEndpoint endpoint(
+      kFirstIncarnation, [](const TestSocket& socket, const std::string& text) {
+        const std::size_t start = text.find("X-Request-Id: ");
+        const std::string line =
+            text.substr(start, text.find("\r\n", start) + 2 - start);
+        return socket.Write("HTTP/1.1 503 X\r\nX-Not-Run: true\r\n" + line +
+                            "Content-Length: 0\r\n\r\n");
+      });
+  Client client;
+  for (int i = 0; i < 2; ++i) {
+    client.Start("a" + std::to_string(i), endpoint);
+    CHECK(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+  }
+  CHECK(endpoint.requests().at(1).connection == 0);
+}
+
+// As above, with a copy that arrives while the connection is idle.
+TEST_CASE("endpoint client uses no connection with a late copy", "[endpoint]") {
+  const std::string copy =
+      "HTTP/1.1 503 X\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n";
+  std::atomic<bool> copied{false};
+  FakeEndpoint endpoint(kFirstIncarnation,
+                        [&](const TestSocket& socket, const std::string&) {
+                          socket.Write(kOkResponse);
+                          std::this_thread::sleep_for(milliseconds(5));
+                          socket.Write(copy);
+                          copied = true;
+                          return true;
+                        });
+  Client client;
+  for (int i = 0; i < 5; ++i) {
+    copied = false;
+    client.Start("a" + std::to_string(i), endpoint);
+    CHECK(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+    CHECK(client.TakeBody() == "{}");
+    while (!copied) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  }
+}
+
+// Guards against bytes that never end and that are not part of a body: the
+// attempt would read them until its caller gives up.
+TEST_CASE("endpoint client breaks off a response without end", "[endpoint]") {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string filler(1000, 'x');
+  const std::pair<std::string, std::string> responses[] = {
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", "HTTP/1.1 103 Early Hints\r\nLink: " + filler + "\r\n\r\n"},
+      {"HTTP/1.1 200 ", filler},
+      {"HTTP/1.1 200 OK\r\n", "X-Field: " + filler + "\r\n"},
+      {"HTTP/1.1 200 OK\r\nX-Field: ", filler},
+      {chunked + "1;", filler},
+      {chunked + "1\r\na\r\n0\r\n", "X-Trailer: " + filler + "\r\n"},
+      {chunked, "3e8\r\n" + filler + "\r\n"},
+      {"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n",
+       "3e8\r\n" + filler + "\r\n"},
+      {"HTTP/1.1 200 OK\r\n\r\n", filler},
+  };
+  for (const auto& [start, part] : responses) {
+    INFO(start << part.substr(0, 40));
+    std::atomic<std::size_t> written{0};
+    constexpr std::size_t kLimit = std::size_t{64} * 1024 * 1024;
+    FakeEndpoint endpoint(kFirstIncarnation,
+                          [&, first = start, rest = part](
+                              const TestSocket& socket, const std::string&) {
+                            bool open = socket.Write(first);
+                            while (open && written < kLimit) {
+                              open = socket.Write(rest);
+                              written += rest.size();
+                            }
+                            return false;
+                          });
+    Client client;
+    client.Start("a1", endpoint);
+    const AttemptEnd end = client.TakeEnd();
+    CHECK(end.outcome != AttemptOutcome::kComplete);
+    CHECK(written < kLimit);
+  }
+}
+
 // Guards against an outcome that contradicts whether the request was sent: for
 // an unreachable endpoint it must be kNotSent, without an AttemptSent message.
 TEST_CASE("endpoint client reports an unreachable endpoint as not sent",
--- a/tests/unit/support/fake_transport.h
+++ b/tests/unit/support/fake_transport.h
@@ -32,6 +32,9 @@
                        ConnectionListener* listener) override;
   void Send(ConnectionId connection, std::string_view data) override;
   std::size_t UnsentBytes(ConnectionId) const override { return 0; }
+  bool HasUnreadData(ConnectionId connection) override {
+    return IsOpen(connection) && !At(connection).unread.empty();
+  }
   void Close(ConnectionId connection) override;
   void CloseLingering(ConnectionId connection) override { Close(connection); }
   std::size_t ClosingCount() const override { return closing_count_; }
--- a/tests/unit/support/sim_network.h
+++ b/tests/unit/support/sim_network.h
@@ -30,6 +30,7 @@
                        ConnectionListener* listener) override;
   void Send(ConnectionId connection, std::string_view data) override;
   std::size_t UnsentBytes(ConnectionId) const override { return 0; }
+  bool HasUnreadData(ConnectionId) override { return false; }
   void Close(ConnectionId connection) override;
   void CloseLingering(ConnectionId connection) override { Close(connection); }
   std::size_t ClosingCount() const override { return 0; }
