--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -20,6 +20,7 @@
 struct EndpointAttempt {
   CallId call{};
   EndpointId endpoint;
+  EndpointIncarnation incarnation;
   VersionId version;
   ModelId model;
   WorkEstimate work;
@@ -92,6 +93,8 @@
   // succeeds.
   std::optional<HttpResponseHead> failure_head;
   std::string failure_body;
+  // Set if all endpoints are paused: when the caller may try again.
+  std::optional<std::chrono::milliseconds> retry_after;
   // Why the latest attempt ended without a response, for the log.
   std::string failure_detail;
   CrashProfile crash_profile;
@@ -103,8 +106,6 @@
   bool awaits_probe = false;
   // Admitted by the quarantine; reset when an attempt breaks early.
   bool admitted = false;
-  // When the caller may come back after a refusal; unset: a constant.
-  std::optional<std::chrono::milliseconds> retry_after;
 };
 
 }  // namespace filbertshift
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -78,7 +78,8 @@
 
 HeadDecision Forwarder::OnHead(CallId call, const HttpResponseHead& head) {
   Exchange* exchange = Find(call);
-  ResponseMetadata response_metadata = codec_.DecodeResponse(head);
+  std::vector<Finding> findings;
+  ResponseMetadata response_metadata = codec_.DecodeResponse(head, &findings);
   if (!response_metadata.request_id.empty() &&
       response_metadata.request_id != exchange->metadata.request_id) {
     log_->Write(
@@ -89,6 +90,7 @@
         fmt::format("response to request {}", response_metadata.request_id));
     return HeadDecision::kSkip;
   }
+  ApplyNotices(*exchange, response_metadata, findings);
   EndpointAttempt& attempt = *exchange->attempt;
   TimePoint now = transport_->Now();
   attempt.head_seen = true;
@@ -336,27 +338,33 @@
   EndpointAttempt& attempt = *exchange->attempt;
   int status = attempt.head.status;
   exchange->failure_detail = fmt::format("status {}", status);
+  bool paused = attempt.response_metadata.pause.has_value();
   if (attempt.response_metadata.not_run) {
     // Otherwise it may be a copy of a refusal of another request.
     bool refused = attempt.own_response;
     exchange->runs += refused ? 0 : 1;
-    EndAttempt(exchange, AttemptResult::kRefused);
+    EndAttempt(exchange,
+               paused ? AttemptResult::kPaused : AttemptResult::kRefused);
     Repeat(exchange, refused ? "refused" : "unnamed_refusal");
     return;
   }
   ++exchange->runs;
   if (!IsGenuine(attempt) || IsSuccess(status)) {
     exchange->failure_detail += " without seal or id";
-    EndAttempt(exchange, AttemptResult::kBroken);
+    EndAttempt(exchange,
+               paused ? AttemptResult::kPaused : AttemptResult::kBroken);
     Repeat(exchange, "unsealed");
     return;
   }
   ReportAnswered(exchange);
-  RecordOutcome(*exchange, status >= 500);
+  if (!paused) {
+    RecordOutcome(*exchange, status >= 500);
+  }
   exchange->failure_head = HeadForCaller(attempt.head);
   exchange->failure_body = std::move(attempt.body);
-  EndAttempt(exchange,
-             status >= 500 ? AttemptResult::kFailed : AttemptResult::kAnswered);
+  AttemptResult result =
+      status >= 500 ? AttemptResult::kFailed : AttemptResult::kAnswered;
+  EndAttempt(exchange, paused ? AttemptResult::kPaused : result);
   if (status >= 500) {
     Repeat(exchange, "failed");
   } else {
