--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -335,7 +335,7 @@
     best = avoided;
   }
   if (best == nullptr && all_paused) {
-    return {std::nullopt, NoEndpointReason::kPaused, free_at};
+    return {std::nullopt, false, NoEndpointReason::kPaused, free_at};
   }
   if (best == nullptr) {
     return {std::nullopt, false, NoEndpointReason::kColdLimit};
--- a/tests/unit/gateway/endpoint_notices_test.cc
+++ b/tests/unit/gateway/endpoint_notices_test.cc
@@ -32,6 +32,7 @@
   void PutRow(const std::string& id, int address, int born) {
     std::string place = fmt::format("10.0.0.{}:80", address);
     addresses[place] = id;
+    ++version_;
     view.ApplyChanges(
         StoreTable::kEndpoints,
         {{id,
@@ -40,11 +41,12 @@
               R"("slots":{},"state":"ready","cold_remaining_ms":0,)"
               R"("sequence":1,"born":{}}})",
               place, ++slots_, born),
-          ++version_, false}},
+          version_, false}},
         version_, RowSource::kStore, transport.Now());
   }
   void RemoveRow(const std::string& id) {
-    view.ApplyChanges(StoreTable::kEndpoints, {{id, "", ++version_, true}},
+    ++version_;
+    view.ApplyChanges(StoreTable::kEndpoints, {{id, "", version_, true}},
                       version_, RowSource::kStore, transport.Now());
   }
   std::string NextId() { return fmt::format("n{}", ++requests_); }
--- a/tests/unit/net/caller_sockets_test.cc
+++ b/tests/unit/net/caller_sockets_test.cc
@@ -122,7 +122,7 @@
   SocketServer server(limits);
   TestSocket caller = ConnectToLoopback(server.port());
   REQUIRE(caller.Write(kGet));
-  REQUIRE(caller.ReadMessage().size() > 0);
+  REQUIRE_FALSE(caller.ReadMessage().empty());
   // The second of two busy moments begins after the idle timer has expired, and
   // before it runs.
   server.Post([&server] {
