Report why a caller's connection ends

A connection closed while idle, or ended with half a request, left no line and no counter, so the explanations of requests without an answer beside a change of the configuration could not be told apart.

filbertshift_caller_connections_closed_total counts ended connections by reason; FS1760 caller_request_cut is written when a part of a request had arrived. Rejections keep FS1716. A running request keeps FS1710.

--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -195,6 +195,9 @@
        "Another instance passed a member row that cannot be written for it."},
       {EventId::kInstanceCountChanged, kInfo, "instance_count_changed",
        "The number of live instances that share limits has changed."},
+      {EventId::kCallerRequestCut, kInfo, "caller_request_cut",
+       "A caller's connection ended while only a part of a request had "
+       "arrived; the detail has the reason and the bytes received."},
   };
   return kDefinitions;
 }
--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -103,6 +103,7 @@
   kViewSourceChanged = 1745,
   kPeerRowRejected = 1746,
   kInstanceCountChanged = 1750,
+  kCallerRequestCut = 1760,
 };
 
 struct EventDefinition {
--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -23,8 +23,47 @@
   return static_cast<std::uint64_t>(id);
 }
 
+CallerCloseReason ReasonOf(ConnectionEnd end) {
+  switch (end) {
+    case ConnectionEnd::kClosed:
+      return CallerCloseReason::kCallerClosed;
+    case ConnectionEnd::kSilent:
+      return CallerCloseReason::kCallerSilent;
+    case ConnectionEnd::kReset:
+    case ConnectionEnd::kConnectFailed:
+      return CallerCloseReason::kCallerReset;
+  }
+  return CallerCloseReason::kCallerReset;
+}
+
 }  // namespace
 
+std::string_view CallerCloseReasonName(CallerCloseReason reason) {
+  switch (reason) {
+    case CallerCloseReason::kIdle:
+      return "idle";
+    case CallerCloseReason::kAnnounced:
+      return "announced";
+    case CallerCloseReason::kShutdown:
+      return "shutdown";
+    case CallerCloseReason::kRejected:
+      return "rejected";
+    case CallerCloseReason::kOverflow:
+      return "overflow";
+    case CallerCloseReason::kSlowCaller:
+      return "slow_caller";
+    case CallerCloseReason::kBrokenOff:
+      return "broken_off";
+    case CallerCloseReason::kCallerClosed:
+      return "caller_closed";
+    case CallerCloseReason::kCallerReset:
+      return "caller_reset";
+    case CallerCloseReason::kCallerSilent:
+      return "caller_silent";
+  }
+  return "broken_off";
+}
+
 CallerServer::CallerServer(Transport* transport, HttpRequestHandler* handler)
     : transport_(transport), handler_(handler) {}
 
@@ -50,7 +89,11 @@
   if (connection->pending.size() + data.size() >
       kMaxPendingBytes + limits_.max_body_bytes) {
     transport_->Abort(id);
-    OnEnd(id, ConnectionEnd::kReset);
+    bool in_request = connection->in_request;
+    Remove(id, CallerCloseReason::kOverflow);
+    if (in_request) {
+      handler_->OnCallerDisconnected(id, ConnectionEnd::kReset);
+    }
     return;
   }
   connection->unused = false;
@@ -61,13 +104,12 @@
 }
 
 void CallerServer::OnEnd(ConnectionId id, ConnectionEnd end) {
-  auto found = connections_.find(Number(id));
-  if (found == connections_.end()) {
+  Connection* connection = Find(id);
+  if (connection == nullptr) {
     return;
   }
-  bool in_request = found->second->in_request;
-  transport_->Cancel(found->second->timer);
-  connections_.erase(found);
+  bool in_request = connection->in_request;
+  Remove(id, ReasonOf(end));
   if (in_request) {
     handler_->OnCallerDisconnected(id, end);
   }
@@ -88,6 +130,7 @@
     connection->body.clear();
     connection->keep_alive = connection->parser.keep_alive();
     connection->continue_sent = false;
+    connection->parsed_bytes = 0;
     connection->parser.Reset();
     connection->in_request = true;
     transport_->Cancel(connection->timer);
@@ -104,6 +147,7 @@
   bool was_started = parser.started();
   std::size_t consumed = parser.Feed(connection->pending);
   connection->pending.erase(0, consumed);
+  connection->parsed_bytes += consumed;
   switch (parser.error()) {
     case HttpParseError::kMalformed:
       Reject(id, 400, "malformed request");
@@ -147,11 +191,20 @@
   head.headers.Add("Content-Length", "0");
   head.headers.Add("Connection", "close");
   transport_->Send(id, SerializeResponseHead(head));
-  transport_->Cancel(Find(id)->timer);
-  connections_.erase(Number(id));
+  Remove(id, CallerCloseReason::kRejected);
   transport_->Close(id);
 }
 
+void CallerServer::Remove(ConnectionId id, CallerCloseReason reason) {
+  auto found = connections_.find(Number(id));
+  const Connection& connection = *found->second;
+  std::size_t unanswered_bytes =
+      connection.parsed_bytes + connection.pending.size();
+  transport_->Cancel(connection.timer);
+  connections_.erase(found);
+  handler_->OnConnectionClosed(reason, unanswered_bytes);
+}
+
 void CallerServer::AddConnectionField(const Connection& connection,
                                       HttpResponseHead* head) const {
   if (closing_ || !connection.keep_alive) {
@@ -203,11 +256,9 @@
   }
 }
 
-void CallerServer::AbortResponse(ConnectionId id) {
-  Connection* connection = Find(id);
-  if (connection != nullptr) {
-    transport_->Cancel(connection->timer);
-    connections_.erase(Number(id));
+void CallerServer::AbortResponse(ConnectionId id, CallerCloseReason reason) {
+  if (Find(id) != nullptr) {
+    Remove(id, reason);
     transport_->Abort(id);
   }
 }
@@ -220,8 +271,7 @@
   connection->in_request = false;
   connection->streaming = false;
   if (closing_ || !connection->keep_alive) {
-    transport_->Cancel(connection->timer);
-    connections_.erase(Number(id));
+    Remove(id, CallerCloseReason::kAnnounced);
     transport_->Close(id);
     return;
   }
@@ -234,7 +284,7 @@
 void CallerServer::ArmIdleTimer(ConnectionId id, Connection* connection) {
   transport_->Cancel(connection->timer);
   connection->timer = transport_->After(limits_.idle_timeout, [this, id] {
-    connections_.erase(Number(id));
+    Remove(id, CallerCloseReason::kIdle);
     transport_->Close(id);
   });
 }
@@ -266,8 +316,7 @@
     }
   }
   for (ConnectionId id : idle) {
-    transport_->Cancel(Find(id)->timer);
-    connections_.erase(Number(id));
+    Remove(id, CallerCloseReason::kShutdown);
     transport_->Close(id);
   }
 }
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -14,6 +14,27 @@
 
 namespace filbertshift {
 
+// Why a connection with a caller ended.
+enum class CallerCloseReason {
+  // No request began for the idle timeout.
+  kIdle,
+  // The response, or its request, said that the connection ends.
+  kAnnounced,
+  // Idle connections are closed at a planned stop.
+  kShutdown,
+  kRejected,
+  // More pipelined bytes arrived than are buffered.
+  kOverflow,
+  kSlowCaller,
+  // The response could not be completed.
+  kBrokenOff,
+  kCallerClosed,
+  kCallerReset,
+  kCallerSilent,
+};
+
+std::string_view CallerCloseReasonName(CallerCloseReason reason);
+
 class HttpRequestHandler {
  public:
   virtual ~HttpRequestHandler() = default;
@@ -26,6 +47,10 @@
   virtual void OnCallerDisconnected(ConnectionId caller, ConnectionEnd end) = 0;
   // A malformed, oversized or late request was rejected with this status.
   virtual void OnRejected(int status, std::string_view reason) = 0;
+  // A connection ended. `unanswered_bytes` is the size of a request of which
+  // only a part had arrived; 0 if no request was affected.
+  virtual void OnConnectionClosed(CallerCloseReason /*reason*/,
+                                  std::size_t /*unanswered_bytes*/) {}
 };
 
 class CallerServer : public AcceptListener {
@@ -50,7 +75,7 @@
   void SendStream(ConnectionId caller, std::string_view data);
   void EndStream(ConnectionId caller);
   // Resets the connection, so that the caller sees the response as incomplete.
-  void AbortResponse(ConnectionId caller);
+  void AbortResponse(ConnectionId caller, CallerCloseReason reason);
   std::size_t UnsentBytes(ConnectionId caller) const;
   std::size_t connection_count() const { return connections_.size(); }
 
@@ -66,6 +91,8 @@
     std::string body;
     // Bytes received after the request in progress.
     std::string pending;
+    // Bytes of the arriving request that are no longer in `pending`.
+    std::size_t parsed_bytes = 0;
     // The handler has a request whose response is not complete.
     bool in_request = false;
     bool continue_sent = false;
@@ -86,6 +113,8 @@
   void SendContinue(ConnectionId id, Connection* connection);
   void Reject(ConnectionId id, int status, std::string_view reason);
   void FinishResponse(ConnectionId id, Connection* connection);
+  // Forgets the connection and reports why it ended.
+  void Remove(ConnectionId id, CallerCloseReason reason);
   void ArmIdleTimer(ConnectionId id, Connection* connection);
   void ArmHeadTimer(ConnectionId id, Connection* connection);
   void AddConnectionField(const Connection& connection,
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -264,6 +264,16 @@
               fmt::format("status={} reason={}", status, reason));
 }
 
+void Forwarder::OnConnectionClosed(CallerCloseReason reason,
+                                   std::size_t unanswered_bytes) {
+  metrics_->CountCallerConnectionClosed(CallerCloseReasonName(reason));
+  if (unanswered_bytes > 0 && reason != CallerCloseReason::kRejected) {
+    log_->Write(EventId::kCallerRequestCut,
+                fmt::format("reason={} bytes={}", CallerCloseReasonName(reason),
+                            unanswered_bytes));
+  }
+}
+
 void Forwarder::Finish(Exchange* exchange,
                        int status,
                        std::string_view outcome) {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -75,6 +75,8 @@
                  std::string body) override;
   void OnCallerDisconnected(ConnectionId caller, ConnectionEnd end) override;
   void OnRejected(int status, std::string_view reason) override;
+  void OnConnectionClosed(CallerCloseReason reason,
+                          std::size_t unanswered_bytes) override;
 
   // CallListener:
   HeadDecision OnHead(CallId call, const HttpResponseHead& head) override;
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -206,7 +206,7 @@
   exchange->failure_body.clear();
   if (server_->UnsentBytes(exchange->caller) > 0) {
     exchange->failure_detail = "caller reads too slowly";
-    server_->AbortResponse(exchange->caller);
+    server_->AbortResponse(exchange->caller, CallerCloseReason::kSlowCaller);
     Finish(exchange, 0, "caller_slow");
   } else if (exchange->attempt.has_value()) {
     MoveAttempt(exchange, "response too large");
@@ -264,7 +264,7 @@
   server_->SendStream(exchange->caller, out);
   if (server_->UnsentBytes(exchange->caller) > kMaxUnsentBytes) {
     exchange->failure_detail = "caller reads too slowly";
-    server_->AbortResponse(exchange->caller);
+    server_->AbortResponse(exchange->caller, CallerCloseReason::kSlowCaller);
     Finish(exchange, 0, "caller_slow");
     return false;
   }
@@ -360,7 +360,7 @@
 
 void Forwarder::GiveUp(Exchange* exchange, int status, std::string_view code) {
   if (exchange->response_started) {
-    server_->AbortResponse(exchange->caller);
+    server_->AbortResponse(exchange->caller, CallerCloseReason::kBrokenOff);
     Finish(exchange, 0, "broken_off");
     return;
   }
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -59,6 +59,10 @@
         rejected(CounterFamily(registry,
                                "filbertshift_rejected_messages_total",
                                "Messages that are no request, by status.")),
+        closed(
+            CounterFamily(registry,
+                          "filbertshift_caller_connections_closed_total",
+                          "Connections with callers that ended, by reason.")),
         store_calls(CounterFamily(registry,
                                   "filbertshift_store_calls_total",
                                   "Calls to the store by table and outcome.")),
@@ -90,6 +94,7 @@
   prometheus::Family<prometheus::Counter>& attempts;
   prometheus::Family<prometheus::Counter>& repeats;
   prometheus::Family<prometheus::Counter>& rejected;
+  prometheus::Family<prometheus::Counter>& closed;
   prometheus::Family<prometheus::Counter>& store_calls;
   prometheus::Family<prometheus::Counter>& violations;
   prometheus::Family<prometheus::Histogram>& first_byte;
@@ -124,6 +129,10 @@
   families_->rejected.Add({{"status", fmt::format("{}", status)}}).Increment();
 }
 
+void GatewayMetrics::CountCallerConnectionClosed(std::string_view reason) {
+  families_->closed.Add({{"reason", std::string(reason)}}).Increment();
+}
+
 void GatewayMetrics::ObserveFirstByte(const std::string& route,
                                       std::chrono::microseconds time) {
   families_->first_byte.Add({{"route", route}}, TimeBuckets())
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -23,6 +23,7 @@
   void CountAttempt(std::string_view result);
   void CountRepeat(std::string_view reason);
   void CountRejected(int status);
+  void CountCallerConnectionClosed(std::string_view reason);
   void ObserveFirstByte(const std::string& route,
                         std::chrono::microseconds time);
   void ObserveExchange(const std::string& route,
--- a/tests/soak/soak_worker.cc
+++ b/tests/soak/soak_worker.cc
@@ -115,7 +115,7 @@
                    server_.BeginStream(caller, ResponseHead(status, request));
                    SendEvent(caller, request, first_event);
                  } else if (RandomBool(kAbortProbability)) {
-                   server_.AbortResponse(caller);
+                   server_.AbortResponse(caller, CallerCloseReason::kBrokenOff);
                  } else {
                    server_.Respond(caller, ResponseHead(status, request),
                                    SoakResponseBody(request));
@@ -133,7 +133,7 @@
   std::string event = SoakEvent(request, number);
   if (RandomBool(kAbortProbability)) {
     server_.SendStream(caller, event.substr(0, random_() % event.size()));
-    server_.AbortResponse(caller);
+    server_.AbortResponse(caller, CallerCloseReason::kBrokenOff);
     return;
   }
   server_.SendStream(caller, event);
--- a/tests/unit/gateway/forwarder_test.cc
+++ b/tests/unit/gateway/forwarder_test.cc
@@ -270,5 +270,14 @@
   CHECK(f.NothingArrives(milliseconds(100)));
 }
 
+TEST_CASE("ended connections of callers are counted by reason", "[gateway]") {
+  ForwarderFixture f;
+  f.transport.Accept(&f.server);
+  f.transport.Advance(CallerLimits().idle_timeout);
+  CHECK(Contains(
+      f.metrics.Serialize(),
+      "filbertshift_caller_connections_closed_total{reason=\"idle\"} 1"));
+}
+
 }  // namespace
 }  // namespace filbertshift
--- a/tests/unit/gateway/stand_ins.cc
+++ b/tests/unit/gateway/stand_ins.cc
@@ -249,7 +249,7 @@
   for (std::int64_t i = first; i <= 3; ++i) {
     server_.SendStream(caller, fmt::format("id: {}\ndata: {}\n\n", i, i));
     if (std::exchange(break_next_, false)) {
-      server_.AbortResponse(caller);
+      server_.AbortResponse(caller, CallerCloseReason::kBrokenOff);
       return;
     }
   }
