Do not write to a connection that was rejected

After a rejection (400, 408, 413, 431) the server cleared a flag of the connection that it had just freed. AddressSanitizer reports a write after free in CallerServer::Process for the section "rejected" of the test "the end of a caller's connection is reported"; without it the write goes unnoticed into memory that may be in use again.

The connection is looked up again after each request.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -137,6 +137,8 @@
     handler_->OnRequest(id, std::move(head), std::move(body));
     connection = Find(id);
   }
+  // A rejected request has removed the connection.
+  connection = Find(id);
   if (connection != nullptr) {
     connection->parsing = false;
   }
