Read what has arrived before a caller's connection is closed as idle

A caller that sent its next request near the end of the idle time could find the connection closed or reset: timers that expired during a busy moment run before the sockets are read, and the idle timer kept the limit in force when it was armed although a new configuration had raised it. The timer for the head and the close of idle connections at a planned stop had the same fault.

Transport::ReadArrived reads a socket at once. It is called before each of these decisions, and the limit now in force is checked when a timer expires. Ruled out: that every busy moment does this.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -12,12 +12,14 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 // Limit on buffered bytes of pipelined requests, in addition to the maximum
 // body size.
 constexpr std::size_t kMaxPendingBytes = std::size_t{256} * 1024;
 // How long the first request of a new connection is waited for when idle
 // connections are closed.
-constexpr std::chrono::milliseconds kFirstRequestWait{500};
+constexpr milliseconds kFirstRequestWait{500};
 
 std::uint64_t Number(ConnectionId id) {
   return static_cast<std::uint64_t>(id);
@@ -77,6 +79,7 @@
   auto connection = std::make_unique<Connection>(limits);
   Connection* added = connection.get();
   added->accepted_at = transport_->Now();
+  added->idle_since = added->accepted_at;
   connections_.emplace(Number(id), std::move(connection));
   ArmIdleTimer(id, added);
 }
@@ -171,6 +174,7 @@
     SendContinue(id, connection);
   }
   if (parser.started() && !was_started) {
+    connection->request_started_at = transport_->Now();
     ArmHeadTimer(id, connection);
   }
   return false;
@@ -277,6 +281,7 @@
     transport_->Close(id);
     return;
   }
+  connection->idle_since = transport_->Now();
   ArmIdleTimer(id, connection);
   if (!connection->pending.empty()) {
     Process(id);
@@ -285,16 +290,59 @@
 
 void CallerServer::ArmIdleTimer(ConnectionId id, Connection* connection) {
   transport_->Cancel(connection->timer);
-  connection->timer = transport_->After(limits_.idle_timeout, [this, id] {
+  connection->timer =
+      transport_->After(TimeLeft(connection->idle_since + limits_.idle_timeout),
+                        [this, id] { OnIdleTimer(id); });
+}
+
+void CallerServer::OnIdleTimer(ConnectionId id) {
+  Connection* connection = Find(id);
+  if (TimeLeft(connection->idle_since + limits_.idle_timeout).count() > 0) {
+    ArmIdleTimer(id, connection);
+    return;
+  }
+  transport_->ReadArrived(id);
+  connection = Find(id);
+  // A request that was answered at once has started another idle time.
+  if (connection != nullptr && IsIdle(*connection) &&
+      TimeLeft(connection->idle_since + limits_.idle_timeout).count() == 0) {
     Remove(id, CallerCloseReason::kIdle);
     transport_->Close(id);
-  });
+  }
 }
 
 void CallerServer::ArmHeadTimer(ConnectionId id, Connection* connection) {
   transport_->Cancel(connection->timer);
   connection->timer = transport_->After(
-      limits_.head_timeout, [this, id] { Reject(id, 408, "request timeout"); });
+      TimeLeft(connection->request_started_at + limits_.head_timeout),
+      [this, id] { OnHeadTimer(id); });
+}
+
+void CallerServer::OnHeadTimer(ConnectionId id) {
+  Connection* connection = Find(id);
+  if (TimeLeft(connection->request_started_at + limits_.head_timeout).count() >
+      0) {
+    ArmHeadTimer(id, connection);
+    return;
+  }
+  transport_->ReadArrived(id);
+  connection = Find(id);
+  // The arriving request may be a later one.
+  if (connection != nullptr && connection->parser.started() &&
+      TimeLeft(connection->request_started_at + limits_.head_timeout).count() ==
+          0) {
+    Reject(id, 408, "request timeout");
+  }
+}
+
+milliseconds CallerServer::TimeLeft(TimePoint end) const {
+  return std::max(std::chrono::ceil<milliseconds>(end - transport_->Now()),
+                  milliseconds(0));
+}
+
+bool CallerServer::IsIdle(const Connection& connection) {
+  return !connection.in_request && !connection.parser.started() &&
+         connection.pending.empty();
 }
 
 bool CallerServer::AwaitsFirstRequest(const Connection& connection) const {
@@ -312,14 +360,17 @@
   std::vector<ConnectionId> idle;
   for (const auto& entry : connections_) {
     const Connection& connection = *entry.second;
-    if (!connection.in_request && !connection.parser.started() &&
-        connection.pending.empty() && !AwaitsFirstRequest(connection)) {
+    if (IsIdle(connection) && !AwaitsFirstRequest(connection)) {
       idle.push_back(ConnectionId{entry.first});
     }
   }
   for (ConnectionId id : idle) {
-    Remove(id, CallerCloseReason::kShutdown);
-    transport_->Close(id);
+    transport_->ReadArrived(id);
+    Connection* connection = Find(id);
+    if (connection != nullptr && IsIdle(*connection)) {
+      Remove(id, CallerCloseReason::kShutdown);
+      transport_->Close(id);
+    }
   }
 }
 
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -102,11 +102,19 @@
     // No request has started to arrive yet.
     bool unused = true;
     TimePoint accepted_at{};
+    // End of the latest response, or `accepted_at`.
+    TimePoint idle_since{};
+    // First byte of the arriving request.
+    TimePoint request_started_at{};
     TimerId timer{};
   };
 
   Connection* Find(ConnectionId id);
   bool AwaitsFirstRequest(const Connection& connection) const;
+  // Whether no byte of a request awaits its response.
+  static bool IsIdle(const Connection& connection);
+  // Rounded up; zero for a time in the past.
+  std::chrono::milliseconds TimeLeft(TimePoint end) const;
   void Process(ConnectionId id);
   // Returns true if a complete request is ready for the handler.
   bool ParseRequest(ConnectionId id, Connection* connection);
@@ -115,8 +123,12 @@
   void FinishResponse(ConnectionId id, Connection* connection);
   // Forgets the connection and reports why it ended.
   void Remove(ConnectionId id, CallerCloseReason reason);
+  // The limits in force when a timer expires apply, as the limits may have been
+  // raised meanwhile.
   void ArmIdleTimer(ConnectionId id, Connection* connection);
+  void OnIdleTimer(ConnectionId id);
   void ArmHeadTimer(ConnectionId id, Connection* connection);
+  void OnHeadTimer(ConnectionId id);
   void AddConnectionField(const Connection& connection,
                           HttpResponseHead* head) const;
 
--- a/src/net/tcp_loop.cc
+++ b/src/net/tcp_loop.cc
@@ -228,14 +228,19 @@
   connection->socket.async_wait(tcp::socket::wait_read,
                                 [this, id](error_code error) {
                                   if (!error) {
-                                    Read(id);
+                                    ReadOnce(id);
+                                    WaitToRead(id);
                                   }
                                 });
 }
 
-void TcpLoop::Read(ConnectionId id) {
+void TcpLoop::ReadArrived(ConnectionId id) {
+  ReadOnce(id);
+}
+
+void TcpLoop::ReadOnce(ConnectionId id) {
   Connection* connection = Find(id);
-  if (connection == nullptr) {
+  if (connection == nullptr || !connection->connected) {
     return;
   }
   error_code error;
@@ -249,7 +254,6 @@
     connection->listener->OnData(id,
                                  std::string_view(read_buffer_.data(), size));
   }
-  WaitToRead(id);
 }
 
 void TcpLoop::Send(ConnectionId id, std::string_view data) {
--- a/src/net/tcp_loop.h
+++ b/src/net/tcp_loop.h
@@ -41,6 +41,7 @@
   void Send(ConnectionId connection, std::string_view data) override;
   std::size_t UnsentBytes(ConnectionId connection) const override;
   void Close(ConnectionId connection) override;
+  void ReadArrived(ConnectionId connection) override;
   void Abort(ConnectionId connection) override;
   TimerId After(std::chrono::milliseconds delay,
                 std::function<void()> action) override;
@@ -81,7 +82,7 @@
   void StartConnect(ConnectionId id, const std::string& address);
   void FinishConnect(ConnectionId id, const boost::system::error_code& error);
   void WaitToRead(ConnectionId id);
-  void Read(ConnectionId id);
+  void ReadOnce(ConnectionId id);
   void WaitToWrite(ConnectionId id);
   void Flush(ConnectionId id);
   void End(ConnectionId id, ConnectionEnd end);
--- a/src/net/transport.h
+++ b/src/net/transport.h
@@ -63,6 +63,10 @@
   // Ends the connection after the buffered bytes are sent. The listener is not
   // called any more.
   virtual void Close(ConnectionId connection) = 0;
+  // Delivers what has already arrived, data or the end of the connection,
+  // before it returns. A decision that rests on a peer's silence calls this
+  // first, because timers run before sockets are read. Not from within OnData.
+  virtual void ReadArrived(ConnectionId connection) = 0;
   // Resets the connection, so that the peer cannot mistake a truncated message
   // for a complete one.
   virtual void Abort(ConnectionId connection) = 0;
--- a/tests/unit/gateway/caller_server_test.cc
+++ b/tests/unit/gateway/caller_server_test.cc
@@ -17,6 +17,10 @@
 
 constexpr std::string_view kGet = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
+bool Contains(const std::string& text, std::string_view part) {
+  return text.find(part) != std::string::npos;
+}
+
 HttpResponseHead Ok() {
   return {200, "OK", {}};
 }
@@ -79,5 +83,72 @@
   }
 }
 
+// Guards against closing a connection whose next request is in the socket.
+TEST_CASE("a request that crosses the idle timeout is answered", "[gateway]") {
+  ServerFixture f;
+  ConnectionId caller = f.Connect();
+  f.transport.Arrive(caller, kGet);
+  f.transport.Advance(f.limits.idle_timeout);
+  CHECK(f.transport.IsOpen(caller));
+  REQUIRE(f.handler.requests.size() == 1);
+  f.server.Respond(caller, Ok(), "ok");
+  CHECK(Contains(f.transport.TakeSent(caller), "200 OK"));
+  f.transport.Advance(f.limits.idle_timeout);
+  CHECK(f.transport.At(caller).closed);
+}
+
+// Guards against closing a connection whose next request is in the socket.
+TEST_CASE("a request that crosses a planned stop is answered", "[gateway]") {
+  ServerFixture f;
+  ConnectionId caller = f.Connect();
+  f.transport.Advance(milliseconds(600));
+  f.transport.Arrive(caller, kGet);
+  f.server.BeginClosing();
+  f.server.CloseIdle();
+  CHECK(f.transport.IsOpen(caller));
+  CHECK(f.handler.requests.size() == 1);
+}
+
+// Guards against a 408 for a request that has arrived in a busy moment.
+TEST_CASE("the rest of a request is read before it times out", "[gateway]") {
+  ServerFixture f;
+  ConnectionId caller = f.Connect();
+  f.transport.Receive(caller, kGet.substr(0, 10));
+  f.transport.Arrive(caller, kGet.substr(10));
+  f.transport.Advance(f.limits.head_timeout);
+  CHECK(f.handler.rejected.empty());
+  CHECK(f.handler.requests.size() == 1);
+}
+
+// Guards against closing a connection that a caller may still reuse under the
+// limits of a new configuration.
+TEST_CASE("a raised idle timeout applies to idle connections", "[gateway]") {
+  ServerFixture f;
+  f.SetIdleTimeout(milliseconds(1000));
+  ConnectionId caller = f.Connect();
+  f.transport.Advance(milliseconds(900));
+  f.SetIdleTimeout(milliseconds(10000));
+  f.transport.Advance(milliseconds(8000));
+  CHECK(f.transport.IsOpen(caller));
+  f.transport.Receive(caller, kGet);
+  REQUIRE(f.handler.requests.size() == 1);
+  f.server.Respond(caller, Ok(), "ok");
+  f.SetIdleTimeout(milliseconds(1000));
+  f.transport.Advance(milliseconds(10000));
+  CHECK(f.transport.At(caller).closed);
+}
+
+// Guards against a 408 under a limit that is no longer in force.
+TEST_CASE("a raised time for the head applies at once", "[gateway]") {
+  ServerFixture f;
+  ConnectionId caller = f.Connect();
+  f.transport.Receive(caller, kGet.substr(0, 10));
+  f.limits.head_timeout *= 3;
+  f.server.SetLimits(f.limits);
+  f.transport.Advance(f.limits.head_timeout / 2);
+  f.transport.Receive(caller, kGet.substr(10));
+  CHECK(f.handler.requests.size() == 1);
+}
+
 }  // namespace
 }  // namespace filbertshift
--- a/tests/unit/support/fake_transport.cc
+++ b/tests/unit/support/fake_transport.cc
@@ -15,7 +15,7 @@
                                     ConnectionListener* listener) {
   ConnectionId id{++last_id_};
   connections_[Number(id)] =
-      Connection{address, listener, "", false, false, false};
+      Connection{address, listener, "", "", false, false, false};
   if (down_.count(address) > 0) {
     After(timeout, [this, id] { End(id, ConnectionEnd::kConnectFailed); });
     return id;
@@ -39,6 +39,13 @@
   At(connection).closed = true;
 }
 
+void FakeTransport::ReadArrived(ConnectionId connection) {
+  std::string arrived = std::exchange(At(connection).unread, std::string());
+  if (!arrived.empty()) {
+    Receive(connection, arrived);
+  }
+}
+
 void FakeTransport::Abort(ConnectionId connection) {
   At(connection).aborted = true;
 }
@@ -61,7 +68,8 @@
 
 ConnectionId FakeTransport::Accept(AcceptListener* listener) {
   ConnectionId id{++last_id_};
-  connections_[Number(id)] = Connection{"", listener, "", true, false, false};
+  connections_[Number(id)] =
+      Connection{"", listener, "", "", true, false, false};
   listener->OnAccepted(id);
   return id;
 }
@@ -72,6 +80,10 @@
   }
 }
 
+void FakeTransport::Arrive(ConnectionId connection, std::string_view data) {
+  At(connection).unread.append(data);
+}
+
 void FakeTransport::End(ConnectionId connection, ConnectionEnd end) {
   if (IsOpen(connection)) {
     At(connection).closed = true;
--- a/tests/unit/support/fake_transport.h
+++ b/tests/unit/support/fake_transport.h
@@ -20,6 +20,8 @@
     std::string address;
     ConnectionListener* listener = nullptr;
     std::string sent;
+    // Arrived but not yet delivered.
+    std::string unread;
     bool connected = false;
     bool closed = false;
     bool aborted = false;
@@ -31,6 +33,7 @@
   void Send(ConnectionId connection, std::string_view data) override;
   std::size_t UnsentBytes(ConnectionId) const override { return 0; }
   void Close(ConnectionId connection) override;
+  void ReadArrived(ConnectionId connection) override;
   void Abort(ConnectionId connection) override;
   TimerId After(std::chrono::milliseconds delay,
                 std::function<void()> action) override;
@@ -41,6 +44,8 @@
   void SetDown(const std::string& address) { down_.insert(address); }
   ConnectionId Accept(AcceptListener* listener);
   void Receive(ConnectionId connection, std::string_view data);
+  // Lets data arrive that the node reads only when it asks for it.
+  void Arrive(ConnectionId connection, std::string_view data);
   void End(ConnectionId connection, ConnectionEnd end);
   // Advances the clock and runs the timers that become due, in order.
   void Advance(std::chrono::milliseconds time);
