Apply changed size limits to open connections

A parser kept the limits of the configuration in force when its connection was accepted: a raised max_header_bytes or max_body_bytes was answered with 431 or 413 on kept connections, and a lowered one did not apply to them.

The limits are taken when a request begins to arrive, and grow with a configuration that raises them meanwhile. "raised size limits apply to open connections" and "lowered size limits apply from the next request" failed before.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -99,6 +99,7 @@
     }
     return;
   }
+  UpdateLimits(connection);
   connection->unused = false;
   connection->pending.append(data);
   if (!connection->in_request) {
@@ -106,6 +107,19 @@
   }
 }
 
+void CallerServer::UpdateLimits(Connection* connection) const {
+  HttpParseLimits* limits = &connection->limits;
+  if (connection->pending.empty() && !connection->parser.started()) {
+    *limits = {limits_.max_head_bytes, limits_.max_body_bytes};
+  } else {
+    limits->max_head_bytes =
+        std::max(limits->max_head_bytes, limits_.max_head_bytes);
+    limits->max_body_bytes =
+        std::max(limits->max_body_bytes, limits_.max_body_bytes);
+  }
+  connection->parser.SetLimits(*limits);
+}
+
 void CallerServer::OnEnd(ConnectionId id, ConnectionEnd end) {
   Connection* connection = Find(id);
   if (connection == nullptr) {
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -85,9 +85,12 @@
 
  private:
   struct Connection {
-    explicit Connection(HttpParseLimits limits)
-        : parser(HttpMessageParser::Kind::kRequest, limits) {}
+    explicit Connection(HttpParseLimits current)
+        : parser(HttpMessageParser::Kind::kRequest, current), limits(current) {}
     HttpMessageParser parser;
+    // The largest limits in force while the request arrives: a configuration
+    // that lowers them does not break it off.
+    HttpParseLimits limits;
     std::string body;
     // Bytes received after the request in progress.
     std::string pending;
@@ -115,6 +118,7 @@
   static bool IsIdle(const Connection& connection);
   // Rounded up; zero for a time in the past.
   std::chrono::milliseconds TimeLeft(TimePoint end) const;
+  void UpdateLimits(Connection* connection) const;
   void Process(ConnectionId id);
   // Returns true if a complete request is ready for the handler.
   bool ParseRequest(ConnectionId id, Connection* connection);
--- a/src/http1/http_parser_adapter.h
+++ b/src/http1/http_parser_adapter.h
@@ -40,6 +40,8 @@
   // Signals that the peer closed its side without an error, which completes a
   // response without a length.
   void FeedEnd();
+  // Applies to what is parsed from now on.
+  void SetLimits(HttpParseLimits limits) { limits_ = limits; }
   // Discards all state, for the next message.
   void Reset();
 
@@ -77,7 +79,7 @@
   HttpHeaders& headers();
 
   const Kind kind_;
-  const HttpParseLimits limits_;
+  HttpParseLimits limits_;
   http_parser parser_;
   HttpRequestHead request_;
   HttpResponseHead response_;
--- a/tests/unit/gateway/caller_server_test.cc
+++ b/tests/unit/gateway/caller_server_test.cc
@@ -21,6 +21,13 @@
   return text.find(part) != std::string::npos;
 }
 
+std::string Post(std::size_t body_bytes) {
+  return fmt::format(
+             "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n",
+             body_bytes) +
+         std::string(body_bytes, 'b');
+}
+
 HttpResponseHead Ok() {
   return {200, "OK", {}};
 }
@@ -150,5 +157,39 @@
   CHECK(f.handler.requests.size() == 1);
 }
 
+// Guards against a 413 or 431 under the limits of an earlier configuration.
+TEST_CASE("raised size limits apply to open connections", "[gateway]") {
+  ServerFixture f;
+  ConnectionId caller = f.Connect();
+  f.transport.Receive(caller, kGet);
+  f.server.Respond(caller, Ok(), "ok");
+  f.limits.max_body_bytes *= 2;
+  f.limits.max_head_bytes *= 2;
+  f.server.SetLimits(f.limits);
+  f.transport.Receive(caller,
+                      "GET /x HTTP/1.1\r\nHost: h\r\nX-Long: " +
+                          std::string(f.limits.max_head_bytes * 3 / 4, 'v') +
+                          "\r\n\r\n");
+  f.server.Respond(caller, Ok(), "ok");
+  f.transport.Receive(caller, Post(f.limits.max_body_bytes * 3 / 4));
+  CHECK(f.handler.rejected.empty());
+  CHECK(f.handler.requests.size() == 3);
+}
+
+// Guards against breaking off a request that kept to the limit when it began.
+TEST_CASE("lowered size limits apply from the next request", "[gateway]") {
+  ServerFixture f;
+  ConnectionId caller = f.Connect();
+  std::string request = Post(f.limits.max_body_bytes);
+  f.transport.Receive(caller, request.substr(0, 1000));
+  f.limits.max_body_bytes /= 2;
+  f.server.SetLimits(f.limits);
+  f.transport.Receive(caller, request.substr(1000));
+  REQUIRE(f.handler.requests.size() == 1);
+  f.server.Respond(caller, Ok(), "ok");
+  f.transport.Receive(caller, request);
+  CHECK(f.handler.rejected == std::vector<int>{413});
+}
+
 }  // namespace
 }  // namespace filbertshift
