Keep a running request when too much arrives behind it

A caller whose pipelined bytes exceeded the buffer, or the limit that a new configuration had just lowered, was reset, and the request that was running lost its answer.

Bytes beyond the buffer are dropped: the running request and those that fit are answered, the next one is refused with 503, as it has not run. The limit is the largest since the bytes began to arrive. Reading goes on, so a caller that leaves is still noticed at once; pausing the socket would hide that.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -50,8 +50,6 @@
       return "shutdown";
     case CallerCloseReason::kRejected:
       return "rejected";
-    case CallerCloseReason::kOverflow:
-      return "overflow";
     case CallerCloseReason::kSlowCaller:
       return "slow_caller";
     case CallerCloseReason::kBrokenOff:
@@ -89,19 +87,16 @@
   if (connection == nullptr) {
     return;
   }
-  if (connection->pending.size() + data.size() >
-      kMaxPendingBytes + limits_.max_body_bytes) {
-    transport_->Abort(id);
-    bool in_request = connection->in_request;
-    Remove(id, CallerCloseReason::kOverflow);
-    if (in_request) {
-      handler_->OnCallerDisconnected(id, ConnectionEnd::kReset);
-    }
-    return;
-  }
   UpdateLimits(connection);
   connection->unused = false;
-  connection->pending.append(data);
+  connection->overflowed =
+      connection->overflowed ||
+      (connection->in_request &&
+       connection->pending.size() + data.size() >
+           kMaxPendingBytes + connection->limits.max_body_bytes);
+  if (!connection->overflowed) {
+    connection->pending.append(data);
+  }
   if (!connection->in_request) {
     Process(id);
   }
@@ -184,6 +179,10 @@
   if (parser.complete()) {
     return true;
   }
+  if (connection->overflowed) {
+    Reject(id, 503, "too many pipelined bytes");
+    return false;
+  }
   if (parser.head_complete() && !connection->continue_sent) {
     SendContinue(id, connection);
   }
@@ -297,7 +296,7 @@
   }
   connection->idle_since = transport_->Now();
   ArmIdleTimer(id, connection);
-  if (!connection->pending.empty()) {
+  if (!connection->pending.empty() || connection->overflowed) {
     Process(id);
   }
 }
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -23,8 +23,7 @@
   // Idle connections are closed at a planned stop.
   kShutdown,
   kRejected,
-  // More pipelined bytes arrived than are buffered.
-  kOverflow,
+  // The caller does not read its response.
   kSlowCaller,
   // The response could not be completed.
   kBrokenOff,
@@ -94,6 +93,9 @@
     std::string body;
     // Bytes received after the request in progress.
     std::string pending;
+    // More bytes arrived than `pending` may hold and were dropped: requests up
+    // to there are served, the next one is refused.
+    bool overflowed = false;
     // Bytes of the arriving request that are no longer in `pending`.
     std::size_t parsed_bytes = 0;
     // The handler has a request whose response is not complete.
--- a/tests/unit/gateway/caller_server_test.cc
+++ b/tests/unit/gateway/caller_server_test.cc
@@ -191,5 +191,53 @@
   CHECK(f.handler.rejected == std::vector<int>{413});
 }
 
+// Guards against a running request that is lost because the caller sends more
+// than is buffered, or than a new configuration allows.
+TEST_CASE("a running request survives pipelined bytes", "[gateway]") {
+  ServerFixture f;
+  ConnectionId caller = f.Connect();
+  f.transport.Receive(caller, kGet);
+  std::string second = Post(f.limits.max_body_bytes);
+  f.transport.Receive(caller, second.substr(0, second.size() / 2));
+  SECTION("within the limit that was in force when they began") {
+    f.limits.max_body_bytes = 1000;
+    f.server.SetLimits(f.limits);
+    f.transport.Receive(caller, second.substr(second.size() / 2));
+    f.server.Respond(caller, Ok(), "one");
+    REQUIRE(f.handler.requests.size() == 2);
+    f.server.Respond(caller, Ok(), "two");
+    CHECK(f.handler.rejected.empty());
+    CHECK(f.transport.IsOpen(caller));
+  }
+  SECTION("beyond what is buffered") {
+    f.transport.Receive(caller, second.substr(second.size() / 2));
+    f.transport.Receive(caller, second);
+    f.transport.Receive(caller, kGet);
+    f.server.Respond(caller, Ok(), "one");
+    REQUIRE(f.handler.requests.size() == 2);
+    f.server.Respond(caller, Ok(), "two");
+    CHECK(f.handler.requests.size() == 2);
+    CHECK(f.handler.rejected == std::vector<int>{503});
+    std::string sent = f.transport.TakeSent(caller);
+    CHECK(Contains(sent, "one"));
+    CHECK(Contains(sent, "two"));
+    CHECK(Contains(sent, "503"));
+  }
+  CHECK(f.handler.disconnected.empty());
+}
+
+// Guards against work for a caller that has left behind unread bytes.
+TEST_CASE("a caller that sends too much is still seen to leave", "[gateway]") {
+  ServerFixture f;
+  ConnectionId caller = f.Connect();
+  f.transport.Receive(caller, kGet);
+  for (int i = 0; i < 3; ++i) {
+    f.transport.Receive(caller, Post(f.limits.max_body_bytes));
+  }
+  f.transport.End(caller, ConnectionEnd::kClosed);
+  CHECK(f.handler.disconnected ==
+        std::vector<ConnectionEnd>{ConnectionEnd::kClosed});
+}
+
 }  // namespace
 }  // namespace filbertshift
