Close lingeringly after a rejection or a last response

A caller that was still sending when its request was rejected had its connection reset, since the kernel resets a socket that is closed with unread bytes; of a longer last answer, what the kernel had not sent yet was dropped as well.

Transport::CloseLingering ends the sending side and discards what arrives, for 2 s, 32 MB and at most 128 connections at a time. Closing an idle connection stays a plain close: a request that crosses it must not be read and dropped, or its caller could not tell that it was not run.

"a caller that is still sending reads its rejection" and "a last answer is whole though more bytes arrive" failed before, over loopback sockets.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -211,7 +211,7 @@
   head.headers.Add("Connection", "close");
   transport_->Send(id, SerializeResponseHead(head));
   Remove(id, CallerCloseReason::kRejected);
-  transport_->Close(id);
+  transport_->CloseLingering(id);
 }
 
 void CallerServer::Remove(ConnectionId id, CallerCloseReason reason) {
@@ -291,7 +291,7 @@
   connection->streaming = false;
   if (closing_ || !connection->keep_alive) {
     Remove(id, CallerCloseReason::kAnnounced);
-    transport_->Close(id);
+    transport_->CloseLingering(id);
     return;
   }
   connection->idle_since = transport_->Now();
--- a/src/net/tcp_loop.cc
+++ b/src/net/tcp_loop.cc
@@ -28,6 +28,11 @@
 // Delay after a failed accept, for example when the process has run out of file
 // descriptors.
 constexpr milliseconds kAcceptRetryDelay{20};
+// Limits of a connection that is closed while its peer may still be sending,
+// and of the number of such connections, each of which holds a file descriptor.
+constexpr milliseconds kMaxLingerTime{2000};
+constexpr std::size_t kMaxLingerBytes = std::size_t{32} * 1024 * 1024;
+constexpr std::size_t kMaxLingering = 128;
 
 // Throws boost::system::system_error for a malformed address.
 tcp::endpoint ParseAddress(const std::string& address) {
@@ -182,7 +187,7 @@
   auto connection = std::make_unique<Connection>(context_);
   connection->listener = listener;
   ConnectionId id = Add(std::move(connection));
-  Find(id)->connect_timer =
+  Find(id)->timer =
       After(timeout, [this, id] { End(id, ConnectionEnd::kConnectFailed); });
   asio::post(context_, [this, id, address] { StartConnect(id, address); });
   return id;
@@ -213,7 +218,7 @@
     End(id, ConnectionEnd::kConnectFailed);
     return;
   }
-  Cancel(connection->connect_timer);
+  Cancel(connection->timer);
   connection->connected = true;
   connection->listener->OnConnected(id);
   WaitToRead(id);
@@ -222,7 +227,7 @@
 
 void TcpLoop::WaitToRead(ConnectionId id) {
   Connection* connection = Find(id);
-  if (connection == nullptr) {
+  if (connection == nullptr || connection->peer_finished) {
     return;
   }
   connection->socket.async_wait(tcp::socket::wait_read,
@@ -240,7 +245,8 @@
 
 void TcpLoop::ReadOnce(ConnectionId id) {
   Connection* connection = Find(id);
-  if (connection == nullptr || !connection->connected) {
+  if (connection == nullptr || !connection->connected ||
+      connection->peer_finished) {
     return;
   }
   error_code error;
@@ -250,7 +256,12 @@
     End(id, ConnectionEndFromError(error));
     return;
   }
-  if (size > 0 && !connection->closing) {
+  if (connection->closing) {
+    connection->discarded_bytes += size;
+    if (connection->discarded_bytes > kMaxLingerBytes) {
+      Remove(id);
+    }
+  } else if (size > 0) {
     connection->listener->OnData(id,
                                  std::string_view(read_buffer_.data(), size));
   }
@@ -292,10 +303,41 @@
   connection->unsent.clear();
   connection->unsent_offset = 0;
   if (connection->closing) {
-    connections_.erase(Number(id));
+    FinishClose(id);
   }
 }
 
+void TcpLoop::FinishClose(ConnectionId id) {
+  Connection* connection = Find(id);
+  if (!connection->lingers || connection->peer_finished ||
+      lingering_count_ >= kMaxLingering) {
+    Remove(id);
+    return;
+  }
+  error_code error;
+  connection->socket.shutdown(tcp::socket::shutdown_send, error);
+  if (error) {
+    Remove(id);
+    return;
+  }
+  connection->lingering = true;
+  ++lingering_count_;
+  connection->timer = After(kMaxLingerTime, [this, id] { Remove(id); });
+}
+
+void TcpLoop::Remove(ConnectionId id) {
+  auto found = connections_.find(Number(id));
+  if (found == connections_.end()) {
+    return;
+  }
+  const Connection& connection = *found->second;
+  if (connection.lingering) {
+    --lingering_count_;
+  }
+  Cancel(connection.timer);
+  connections_.erase(found);
+}
+
 void TcpLoop::WaitToWrite(ConnectionId id) {
   Connection* connection = Find(id);
   connection->waiting_to_write = true;
@@ -326,8 +368,20 @@
     connection->closing = true;
     return;
   }
-  Cancel(connection->connect_timer);
-  connections_.erase(Number(id));
+  Remove(id);
+}
+
+void TcpLoop::CloseLingering(ConnectionId id) {
+  Connection* connection = Find(id);
+  if (connection == nullptr || !connection->connected) {
+    Close(id);
+    return;
+  }
+  connection->closing = true;
+  connection->lingers = true;
+  if (UnsentBytes(id) == 0) {
+    FinishClose(id);
+  }
 }
 
 void TcpLoop::Abort(ConnectionId id) {
@@ -339,8 +393,7 @@
     error_code ignored;  // The connection ends either way.
     connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
   }
-  Cancel(connection->connect_timer);
-  connections_.erase(Number(id));
+  Remove(id);
 }
 
 void TcpLoop::End(ConnectionId id, ConnectionEnd end) {
@@ -350,8 +403,7 @@
   }
   ConnectionListener* listener = found->second->listener;
   bool closing = found->second->closing;
-  Cancel(found->second->connect_timer);
-  connections_.erase(found);
+  Remove(id);
   if (!closing) {
     listener->OnEnd(id, end);
   }
--- a/src/net/tcp_loop.h
+++ b/src/net/tcp_loop.h
@@ -41,6 +41,7 @@
   void Send(ConnectionId connection, std::string_view data) override;
   std::size_t UnsentBytes(ConnectionId connection) const override;
   void Close(ConnectionId connection) override;
+  void CloseLingering(ConnectionId connection) override;
   void ReadArrived(ConnectionId connection) override;
   void Abort(ConnectionId connection) override;
   TimerId After(std::chrono::milliseconds delay,
@@ -66,7 +67,15 @@
     // Close was called: the connection ends once all of `unsent` is written,
     // and the listener is not called any more.
     bool closing = false;
-    TimerId connect_timer{};
+    // CloseLingering was called; implies `closing`.
+    bool lingers = false;
+    // Everything is sent, and the peer has not closed yet; implies `lingers`.
+    bool lingering = false;
+    std::size_t discarded_bytes = 0;
+    // The peer sends no more.
+    bool peer_finished = false;
+    // Limits the time to connect or to linger.
+    TimerId timer{};
   };
 
   struct Listener {
@@ -86,6 +95,9 @@
   void WaitToWrite(ConnectionId id);
   void Flush(ConnectionId id);
   void End(ConnectionId id, ConnectionEnd end);
+  // Ends a connection that is closing and whose bytes are all written.
+  void FinishClose(ConnectionId id);
+  void Remove(ConnectionId id);
   void ArmTimer();
   void RunTimers();
   void WaitForSignal();
@@ -97,6 +109,8 @@
   std::function<void(int)> on_signal_;
   std::vector<std::unique_ptr<Listener>> listeners_;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+  // Connections that wait for their peers to close.
+  std::size_t lingering_count_ = 0;
   std::uint64_t last_id_ = 0;
   // Ordered by time, then by id.
   std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> timers_;
--- a/src/net/transport.h
+++ b/src/net/transport.h
@@ -63,6 +63,10 @@
   // Ends the connection after the buffered bytes are sent. The listener is not
   // called any more.
   virtual void Close(ConnectionId connection) = 0;
+  // As Close, for a peer that may still be sending: what it sends is discarded
+  // until it closes, for a bounded time. Closing a socket with unread bytes
+  // resets the connection, which drops what the peer has not received yet.
+  virtual void CloseLingering(ConnectionId connection) = 0;
   // Delivers what has already arrived, data or the end of the connection,
   // before it returns. A decision that rests on a peer's silence calls this
   // first, because timers run before sockets are read. Not from within OnData.
--- a/tests/unit/net/caller_sockets_test.cc
+++ b/tests/unit/net/caller_sockets_test.cc
@@ -20,7 +20,23 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
 constexpr std::string_view kGet = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr std::string_view kLastGet =
+    "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+
+// A caller whose kernel buffers little of an answer.
+TestSocket ConnectWithSmallBuffer(int port) {
+  TestSocket caller = ConnectToLoopback(port);
+  int size = 16 * 1024;
+  setsockopt(caller.descriptor(), SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+  return caller;
+}
+
+std::size_t BodySize(const std::string& response) {
+  std::size_t head_end = response.find("\r\n\r\n");
+  return head_end == std::string::npos ? 0 : response.size() - head_end - 4;
+}
 
 // Responds to every request with a body of `body_bytes`.
 class RespondingHandler : public RecordingHandler {
@@ -119,5 +135,40 @@
   CHECK(caller.ReadMessage().find("200 OK") != std::string::npos);
 }
 
+// Guards against a rejection that a caller does not read, because the kernel
+// resets a connection that is closed with unread bytes.
+TEST_CASE("a caller that is still sending reads its rejection", "[net]") {
+  SocketServer server;
+  TestSocket caller = ConnectToLoopback(server.port());
+  REQUIRE(
+      caller.Write("POST /x HTTP/1.1\r\nHost: h\r\n"
+                   "Content-Length: 8388608\r\n\r\n"));
+  bool sent = true;
+  for (int i = 0; i < 8 && sent; ++i) {
+    std::this_thread::sleep_for(milliseconds(20));
+    sent = caller.Write(std::string(kMegabyte, 'b'));
+  }
+  CHECK(sent);
+  std::string response = caller.ReadMessage();
+  CHECK(response.find("413") != std::string::npos);
+}
+
+// Guards against an answer that ends early because bytes arrive behind its
+// request.
+TEST_CASE("a last answer is whole though more bytes arrive", "[net]") {
+  SocketServer server;
+  server.handler().body_bytes = kMegabyte;
+  TestSocket caller = ConnectWithSmallBuffer(server.port());
+  REQUIRE(caller.Write(kLastGet));
+  std::string response = caller.ReadSome();
+  std::this_thread::sleep_for(milliseconds(50));
+  REQUIRE(caller.Write(kGet));
+  for (std::string part = caller.ReadSome(); !part.empty();
+       part = caller.ReadSome()) {
+    response += part;
+  }
+  CHECK(BodySize(response) == kMegabyte);
+}
+
 }  // namespace
 }  // namespace filbertshift
--- a/tests/unit/support/sim_network.h
+++ b/tests/unit/support/sim_network.h
@@ -31,6 +31,7 @@
   void Send(ConnectionId connection, std::string_view data) override;
   std::size_t UnsentBytes(ConnectionId) const override { return 0; }
   void Close(ConnectionId connection) override;
+  void CloseLingering(ConnectionId connection) override { Close(connection); }
   void ReadArrived(ConnectionId /*connection*/) override {}
   void Abort(ConnectionId connection) override;
   TimerId After(std::chrono::milliseconds delay,
