Give a body its own time to arrive

header_timeout_ms covered head and body: a large body that was still arriving when it was over was rejected with 408.

The time for the head ends with the head. A body may take long, but at least 512 bytes must arrive in each idle_timeout_ms. "a body may arrive for longer than a head" failed before.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -17,6 +17,8 @@
 // Limit on buffered bytes of pipelined requests, in addition to the maximum
 // body size.
 constexpr std::size_t kMaxPendingBytes = std::size_t{256} * 1024;
+// A body counts as still arriving if it grows by this much in the idle timeout.
+constexpr std::size_t kMinBodyProgressBytes = 512;
 // How long the first request of a new connection is waited for when idle
 // connections are closed.
 constexpr milliseconds kFirstRequestWait{500};
@@ -314,11 +316,8 @@
     ArmIdleTimer(id, connection);
     return;
   }
-  transport_->ReadArrived(id);
-  connection = Find(id);
-  // A request that was answered at once has started another idle time.
-  if (connection != nullptr && IsIdle(*connection) &&
-      TimeLeft(connection->idle_since + limits_.idle_timeout).count() == 0) {
+  connection = ReadAtExpiry(id);
+  if (connection != nullptr && IsIdle(*connection)) {
     Remove(id, CallerCloseReason::kIdle);
     transport_->Close(id);
   }
@@ -338,16 +337,45 @@
     ArmHeadTimer(id, connection);
     return;
   }
-  transport_->ReadArrived(id);
-  connection = Find(id);
-  // The arriving request may be a later one.
-  if (connection != nullptr && connection->parser.started() &&
-      TimeLeft(connection->request_started_at + limits_.head_timeout).count() ==
-          0) {
+  connection = ReadAtExpiry(id);
+  if (connection == nullptr || !connection->parser.started()) {
+    return;
+  }
+  if (connection->parser.head_complete()) {
+    ArmBodyTimer(id, connection);
+  } else {
     Reject(id, 408, "request timeout");
   }
 }
 
+void CallerServer::ArmBodyTimer(ConnectionId id, Connection* connection) {
+  transport_->Cancel(connection->timer);
+  connection->body_bytes_at_timer = connection->body.size();
+  connection->timer =
+      transport_->After(limits_.idle_timeout, [this, id] { OnBodyTimer(id); });
+}
+
+void CallerServer::OnBodyTimer(ConnectionId id) {
+  Connection* connection = ReadAtExpiry(id);
+  if (connection == nullptr || !connection->parser.started()) {
+    return;
+  }
+  if (connection->body.size() - connection->body_bytes_at_timer >=
+      kMinBodyProgressBytes) {
+    ArmBodyTimer(id, connection);
+  } else {
+    Reject(id, 408, "body timeout");
+  }
+}
+
+CallerServer::Connection* CallerServer::ReadAtExpiry(ConnectionId id) {
+  TimerId expired = Find(id)->timer;
+  transport_->ReadArrived(id);
+  Connection* connection = Find(id);
+  return connection != nullptr && connection->timer == expired ? connection
+                                                               : nullptr;
+}
+
 milliseconds CallerServer::TimeLeft(TimePoint end) const {
   return std::max(std::chrono::ceil<milliseconds>(end - transport_->Now()),
                   milliseconds(0));
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -111,6 +111,8 @@
     TimePoint idle_since{};
     // First byte of the arriving request.
     TimePoint request_started_at{};
+    // Size of `body` when the timer was started.
+    std::size_t body_bytes_at_timer = 0;
     TimerId timer{};
   };
 
@@ -135,6 +137,12 @@
   void OnIdleTimer(ConnectionId id);
   void ArmHeadTimer(ConnectionId id, Connection* connection);
   void OnHeadTimer(ConnectionId id);
+  // A body may take long, but must go on to arrive.
+  void ArmBodyTimer(ConnectionId id, Connection* connection);
+  void OnBodyTimer(ConnectionId id);
+  // Reads what has arrived when a timer expires. Returns nullptr if the
+  // connection has ended or another timer was started.
+  Connection* ReadAtExpiry(ConnectionId id);
   void AddConnectionField(const Connection& connection,
                           HttpResponseHead* head) const;
 
--- a/tests/unit/gateway/caller_server_test.cc
+++ b/tests/unit/gateway/caller_server_test.cc
@@ -239,5 +239,43 @@
         std::vector<ConnectionEnd>{ConnectionEnd::kClosed});
 }
 
+// Guards against a 408 for a large body within the time for the head.
+TEST_CASE("a body may arrive for longer than a head", "[gateway]") {
+  ServerFixture f;
+  ConnectionId caller = f.Connect();
+  std::string request = Post(100000);
+  f.transport.Receive(caller, request.substr(0, 1000));
+  for (std::size_t at = 1000; at < request.size(); at += 1000) {
+    f.transport.Advance(f.limits.head_timeout / 2);
+    f.transport.Receive(caller, request.substr(at, 1000));
+  }
+  CHECK(f.handler.rejected.empty());
+  CHECK(f.handler.requests.size() == 1);
+}
+
+TEST_CASE("a body that stops arriving is rejected", "[gateway]") {
+  ServerFixture f;
+  ConnectionId caller = f.Connect();
+  f.transport.Receive(caller, Post(100000).substr(0, 1000));
+  for (milliseconds waited{0};
+       waited <= f.limits.head_timeout + f.limits.idle_timeout;
+       waited += milliseconds(1000)) {
+    f.transport.Receive(caller, "b");
+    f.transport.Advance(milliseconds(1000));
+  }
+  CHECK(f.handler.rejected == std::vector<int>{408});
+  CHECK(f.transport.At(caller).closed);
+}
+
+TEST_CASE("a head that does not arrive in time is rejected", "[gateway]") {
+  ServerFixture f;
+  ConnectionId caller = f.Connect();
+  f.transport.Receive(caller, kGet.substr(0, 10));
+  f.transport.Advance(f.limits.head_timeout - milliseconds(1));
+  CHECK(f.handler.rejected.empty());
+  f.transport.Advance(milliseconds(1));
+  CHECK(f.handler.rejected == std::vector<int>{408});
+}
+
 }  // namespace
 }  // namespace filbertshift
