Deliver the rest of an answer to a caller that sends no more

The end of a caller's sending side ended the connection and dropped what was left of an answer that was complete on this side.

The rest is sent until a write fails. "an answer in delivery outlives a half-closed caller" failed before, over loopback sockets.

--- a/src/net/tcp_loop.cc
+++ b/src/net/tcp_loop.cc
@@ -117,6 +117,7 @@
           return;
         }
         held->listener = listener->listener;
+        held->accepted = true;
         held->connected = true;
         SetOptions(&held->socket);
         ConnectionId id = Add(std::move(held));
@@ -401,9 +402,18 @@
   if (found == connections_.end()) {
     return;
   }
-  ConnectionListener* listener = found->second->listener;
-  bool closing = found->second->closing;
-  Remove(id);
+  Connection* connection = found->second.get();
+  ConnectionListener* listener = connection->listener;
+  bool closing = connection->closing;
+  if (end == ConnectionEnd::kClosed && connection->accepted &&
+      UnsentBytes(id) > 0) {
+    // The peer may have shut down only its sending side; if it has closed, the
+    // next write fails.
+    connection->closing = true;
+    connection->peer_finished = true;
+  } else {
+    Remove(id);
+  }
   if (!closing) {
     listener->OnEnd(id, end);
   }
--- a/src/net/tcp_loop.h
+++ b/src/net/tcp_loop.h
@@ -62,6 +62,7 @@
     // socket.
     std::string unsent;
     std::size_t unsent_offset = 0;
+    bool accepted = false;
     bool connected = false;
     bool waiting_to_write = false;
     // Close was called: the connection ends once all of `unsent` is written,
--- a/tests/unit/net/caller_sockets_test.cc
+++ b/tests/unit/net/caller_sockets_test.cc
@@ -170,5 +170,21 @@
   CHECK(BodySize(response) == kMegabyte);
 }
 
+// Guards against an answer that is dropped when its caller sends no more.
+TEST_CASE("an answer in delivery outlives a half-closed caller", "[net]") {
+  SocketServer server;
+  server.handler().body_bytes = 16 * kMegabyte;
+  TestSocket caller = ConnectWithSmallBuffer(server.port());
+  REQUIRE(caller.Write(kGet));
+  std::string response = caller.ReadSome();
+  shutdown(caller.descriptor(), SHUT_WR);
+  std::this_thread::sleep_for(milliseconds(50));
+  for (std::string part = caller.ReadSome(); !part.empty();
+       part = caller.ReadSome()) {
+    response += part;
+  }
+  CHECK(BodySize(response) == 16 * kMegabyte);
+}
+
 }  // namespace
 }  // namespace filbertshift
