Do not cut callers that pause reading

A sound caller that did not read for silence_timeout was cut: TCP_USER_TIMEOUT also ends a connection whose peer acknowledges but has no room.

Accepted connections drop that option where the system tells what is acknowledged (TCP_INFO). A check ends those with bytes in transit for silence_timeout whose peer has answered none of the transmissions of that time. A closed connection has 30 s to send its rest. Ruled out: the age of the latest acknowledgement alone, which cut the same caller, as a full buffer is probed at growing intervals.

Not shown by a run: a caller that dies with bytes in transit, which needs packets that are lost on the way.

--- a/src/net/tcp_loop.cc
+++ b/src/net/tcp_loop.cc
@@ -31,6 +31,8 @@
 // Limits of a connection that is closed while its peer may still be sending,
 // and of the number of such connections, each of which holds a file descriptor.
 constexpr milliseconds kMaxLingerTime{2000};
+// Time to deliver the rest of a response on a connection that is closed.
+constexpr milliseconds kMaxFlushTime{30000};
 constexpr std::size_t kMaxLingerBytes = std::size_t{32} * 1024 * 1024;
 constexpr std::size_t kMaxLingering = 128;
 
@@ -51,6 +53,20 @@
       make_error_code(boost::system::errc::invalid_argument), address);
 }
 
+void SetTcpOption(int descriptor, int option, int value) {
+  setsockopt(descriptor, IPPROTO_TCP, option, &value, sizeof(value));
+}
+
+// Returns nothing if the system does not tell.
+std::optional<tcp_info> TcpInfo(int descriptor) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return std::nullopt;
+  }
+  return info;
+}
+
 bool WouldBlock(const error_code& error) {
   return error == asio::error::would_block || error == asio::error::try_again ||
          error == asio::error::interrupted;
@@ -99,6 +115,9 @@
   entry->acceptor.bind(endpoint);
   entry->acceptor.listen(kListenBacklog);
   entry->acceptor.non_blocking(true);
+  if (listeners_.empty()) {
+    CheckAcknowledgements();
+  }
   listeners_.push_back(std::move(entry));
   Accept(listeners_.back().get());
 }
@@ -120,6 +139,9 @@
         held->accepted = true;
         held->connected = true;
         SetOptions(&held->socket);
+        if (TcpInfo(held->socket.native_handle()).has_value()) {
+          SetTcpOption(held->socket.native_handle(), TCP_USER_TIMEOUT, 0);
+        }
         ConnectionId id = Add(std::move(held));
         listener->listener->OnAccepted(id);
         WaitToRead(id);
@@ -133,13 +155,39 @@
   socket->set_option(tcp::no_delay(true), ignored);
   socket->set_option(asio::socket_base::keep_alive(true), ignored);
   int descriptor = socket->native_handle();
-  auto set = [descriptor](int option, int value) {
-    setsockopt(descriptor, IPPROTO_TCP, option, &value, sizeof(value));
-  };
-  set(TCP_KEEPIDLE, kKeepAliveIdleSeconds);
-  set(TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
-  set(TCP_KEEPCNT, kKeepAliveProbes);
-  set(TCP_USER_TIMEOUT, static_cast<int>(silence_timeout_.count()));
+  SetTcpOption(descriptor, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetTcpOption(descriptor, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetTcpOption(descriptor, TCP_KEEPCNT, kKeepAliveProbes);
+  SetTcpOption(descriptor, TCP_USER_TIMEOUT,
+               static_cast<int>(silence_timeout_.count()));
+}
+
+// A peer whose buffer is full acknowledges each retransmission, so its latest
+// acknowledgement is about as old as the latest transmission.
+void TcpLoop::CheckAcknowledgements() {
+  TimePoint now = Now();
+  std::vector<ConnectionId> silent;
+  for (auto& [number, connection] : connections_) {
+    if (!connection->accepted || !connection->unacknowledged) {
+      continue;
+    }
+    std::optional<tcp_info> info = TcpInfo(connection->socket.native_handle());
+    if (!info.has_value() || info->tcpi_unacked == 0) {
+      // What is left waits for the peer to read; the kernel asks for that.
+      connection->unacknowledged = UnsentBytes(ConnectionId{number}) > 0;
+      connection->unacknowledged_since.reset();
+    } else if (!connection->unacknowledged_since.has_value()) {
+      connection->unacknowledged_since = now;
+    } else if (now - *connection->unacknowledged_since >= silence_timeout_ &&
+               milliseconds(info->tcpi_last_ack_recv) >=
+                   milliseconds(info->tcpi_last_data_sent) + silence_timeout_) {
+      silent.push_back(ConnectionId{number});
+    }
+  }
+  for (ConnectionId id : silent) {
+    End(id, ConnectionEnd::kSilent);
+  }
+  After(silence_timeout_ / 4, [this] { CheckAcknowledgements(); });
 }
 
 void TcpLoop::OnSignals(const std::vector<int>& signals,
@@ -291,6 +339,7 @@
                      connection->unsent.size() - connection->unsent_offset),
         error);
     connection->unsent_offset += size;
+    connection->unacknowledged = true;
     if (error && WouldBlock(error)) {
       WaitToWrite(id);
       return;
@@ -308,6 +357,12 @@
   }
 }
 
+void TcpLoop::BeginClose(ConnectionId id, Connection* connection) {
+  connection->closing = true;
+  Cancel(connection->timer);
+  connection->timer = After(kMaxFlushTime, [this, id] { Abort(id); });
+}
+
 void TcpLoop::FinishClose(ConnectionId id) {
   Connection* connection = Find(id);
   if (!connection->lingers || connection->peer_finished ||
@@ -323,6 +378,7 @@
   }
   connection->lingering = true;
   ++lingering_count_;
+  Cancel(connection->timer);
   connection->timer = After(kMaxLingerTime, [this, id] { Remove(id); });
 }
 
@@ -366,7 +422,7 @@
     return;
   }
   if (connection->connected && UnsentBytes(id) > 0) {
-    connection->closing = true;
+    BeginClose(id, connection);
     return;
   }
   Remove(id);
@@ -378,7 +434,7 @@
     Close(id);
     return;
   }
-  connection->closing = true;
+  BeginClose(id, connection);
   connection->lingers = true;
   if (UnsentBytes(id) == 0) {
     FinishClose(id);
@@ -409,7 +465,7 @@
       UnsentBytes(id) > 0) {
     // The peer may have shut down only its sending side; if it has closed, the
     // next write fails.
-    connection->closing = true;
+    BeginClose(id, connection);
     connection->peer_finished = true;
   } else {
     Remove(id);
--- a/src/net/tcp_loop.h
+++ b/src/net/tcp_loop.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -21,6 +22,8 @@
 class TcpLoop : public Transport {
  public:
   // A connection ends when the peer acknowledges nothing for `silence_timeout`.
+  // A peer of an accepted connection may pause reading for longer if it still
+  // acknowledges.
   explicit TcpLoop(std::chrono::milliseconds silence_timeout);
   TcpLoop(const TcpLoop&) = delete;
   TcpLoop& operator=(const TcpLoop&) = delete;
@@ -63,6 +66,11 @@
     std::string unsent;
     std::size_t unsent_offset = 0;
     bool accepted = false;
+    // Bytes were sent that the peer had not acknowledged at the latest check.
+    bool unacknowledged = false;
+    // When the check first found them; not set for a peer that has acknowledged
+    // everything in transit.
+    std::optional<TimePoint> unacknowledged_since;
     bool connected = false;
     bool waiting_to_write = false;
     // Close was called: the connection ends once all of `unsent` is written,
@@ -75,7 +83,7 @@
     std::size_t discarded_bytes = 0;
     // The peer sends no more.
     bool peer_finished = false;
-    // Limits the time to connect or to linger.
+    // Limits the time to connect, to send the rest before the end or to linger.
     TimerId timer{};
   };
 
@@ -89,6 +97,10 @@
   ConnectionId Add(std::unique_ptr<Connection> connection);
   void Accept(Listener* listener);
   void SetOptions(Socket* socket) const;
+  // Replaces TCP_USER_TIMEOUT, which also ends connections whose peer only does
+  // not read.
+  void CheckAcknowledgements();
+  void BeginClose(ConnectionId id, Connection* connection);
   void StartConnect(ConnectionId id, const std::string& address);
   void FinishConnect(ConnectionId id, const boost::system::error_code& error);
   void WaitToRead(ConnectionId id);
--- a/tests/unit/net/caller_sockets_test.cc
+++ b/tests/unit/net/caller_sockets_test.cc
@@ -186,5 +186,23 @@
   CHECK(BodySize(response) == 16 * kMegabyte);
 }
 
+// Guards against a sound caller that is cut because it pauses reading.
+TEST_CASE("a caller that pauses reading gets its whole answer", "[net]") {
+  SocketServer server(CallerLimits(), milliseconds(1000));
+  server.handler().body_bytes = 4 * kMegabyte;
+  TestSocket caller = ConnectWithSmallBuffer(server.port());
+  REQUIRE(caller.Write(kGet));
+  std::this_thread::sleep_for(milliseconds(3000));
+  std::string response;
+  while (BodySize(response) < 4 * kMegabyte) {
+    std::string part = caller.ReadSome();
+    if (part.empty()) {
+      break;
+    }
+    response += part;
+  }
+  CHECK(BodySize(response) == 4 * kMegabyte);
+}
+
 }  // namespace
 }  // namespace filbertshift
