Wait for answers in delivery at a planned stop

A stopping process counted requests in progress only. An answer that was complete but not yet sent to a slow caller was cut off by the exit.

The exit waits for closed connections that have bytes to send or discard, within the time for the stop. FS1703 says how many are left. "a stop waits for answers in delivery, within its time" failed before.

--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -132,7 +132,7 @@
        "finishes its requests."},
       {EventId::kGatewayStopped, kInfo, "gateway_stopped",
        "The process ends; the detail has the requests that were still in "
-       "progress."},
+       "progress and the connections whose last bytes were not delivered yet."},
       {EventId::kSettingsReloaded, kInfo, "settings_reloaded",
        "SIGHUP arrived; the detail says what changed or why the settings "
        "were not taken."},
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -295,11 +295,14 @@
   if (elapsed >= kRefuseDelay) {
     forwarder_.RefuseNewRequests();
   }
-  bool idle =
-      forwarder_.in_progress() == 0 && !caller_server_.AwaitsFirstRequest();
+  bool idle = forwarder_.in_progress() == 0 &&
+              !caller_server_.AwaitsFirstRequest() &&
+              transport_->ClosingCount() == 0;
   if (elapsed >= limit || (idle && elapsed >= kMinShutdownTime)) {
-    log_->Write(EventId::kGatewayStopped,
-                fmt::format("in_progress={}", forwarder_.in_progress()));
+    log_->Write(
+        EventId::kGatewayStopped,
+        fmt::format("in_progress={} closing={}", forwarder_.in_progress(),
+                    transport_->ClosingCount()));
     shutdown_done_();
   }
 }
--- a/src/net/tcp_loop.cc
+++ b/src/net/tcp_loop.cc
@@ -441,6 +441,12 @@
   }
 }
 
+std::size_t TcpLoop::ClosingCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [](const auto& entry) { return entry.second->closing; }));
+}
+
 void TcpLoop::Abort(ConnectionId id) {
   Connection* connection = Find(id);
   if (connection == nullptr) {
--- a/src/net/tcp_loop.h
+++ b/src/net/tcp_loop.h
@@ -45,6 +45,7 @@
   std::size_t UnsentBytes(ConnectionId connection) const override;
   void Close(ConnectionId connection) override;
   void CloseLingering(ConnectionId connection) override;
+  std::size_t ClosingCount() const override;
   void ReadArrived(ConnectionId connection) override;
   void Abort(ConnectionId connection) override;
   TimerId After(std::chrono::milliseconds delay,
--- a/src/net/transport.h
+++ b/src/net/transport.h
@@ -67,6 +67,8 @@
   // until it closes, for a bounded time. Closing a socket with unread bytes
   // resets the connection, which drops what the peer has not received yet.
   virtual void CloseLingering(ConnectionId connection) = 0;
+  // Number of closed connections that still have bytes to send or to discard.
+  virtual std::size_t ClosingCount() const = 0;
   // Delivers what has already arrived, data or the end of the connection,
   // before it returns. A decision that rests on a peer's silence calls this
   // first, because timers run before sockets are read. Not from within OnData.
--- a/tests/unit/gateway/planned_stop_test.cc
+++ b/tests/unit/gateway/planned_stop_test.cc
@@ -46,5 +46,37 @@
   CHECK(f.transport.IsOpen(half_read));
 }
 
+// Guards against an exit that cuts off an answer that is still being sent.
+TEST_CASE("a stop waits for answers in delivery, within its time",
+          "[gateway]") {
+  GatewaySettings settings;
+  settings.instance = InstanceId("i1");
+  settings.store_address = "10.0.0.1:80";
+  settings.shutdown_s = 8;
+  FakeTransport transport;
+  NullEventLog log;
+  GatewayMetrics metrics;
+  HeaderCodec headers;
+  DocumentDecoder documents;
+  RowProtocol rows(settings.store_address);
+  Gateway gateway(settings, {headers, documents, rows}, &transport, &log,
+                  &metrics, 1);
+  gateway.Start();
+  bool stopped = false;
+  gateway.BeginShutdown([&stopped] { stopped = true; });
+  transport.SetClosingCount(1);
+  transport.Advance(milliseconds(5000));
+  CHECK_FALSE(stopped);
+  SECTION("they are delivered") {
+    transport.SetClosingCount(0);
+    transport.Advance(milliseconds(200));
+    CHECK(stopped);
+  }
+  SECTION("they are not read") {
+    transport.Advance(milliseconds(2600));
+    CHECK(stopped);
+  }
+}
+
 }  // namespace
 }  // namespace filbertshift
--- a/tests/unit/support/fake_transport.h
+++ b/tests/unit/support/fake_transport.h
@@ -34,6 +34,7 @@
   std::size_t UnsentBytes(ConnectionId) const override { return 0; }
   void Close(ConnectionId connection) override;
   void CloseLingering(ConnectionId connection) override { Close(connection); }
+  std::size_t ClosingCount() const override { return closing_count_; }
   void ReadArrived(ConnectionId connection) override;
   void Abort(ConnectionId connection) override;
   TimerId After(std::chrono::milliseconds delay,
@@ -41,6 +42,7 @@
   void Cancel(TimerId timer) override;
   TimePoint Now() const override { return now_; }
 
+  void SetClosingCount(std::size_t count) { closing_count_ = count; }
   // Makes new connections to this address fail after their timeout.
   void SetDown(const std::string& address) { down_.insert(address); }
   ConnectionId Accept(AcceptListener* listener);
@@ -61,6 +63,7 @@
  private:
   TimePoint now_{std::chrono::hours(1)};
   std::uint64_t last_id_ = 0;
+  std::size_t closing_count_ = 0;
   std::map<std::uint64_t, Connection> connections_;
   std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> timers_;
   std::set<std::string> down_;
--- a/tests/unit/support/sim_network.h
+++ b/tests/unit/support/sim_network.h
@@ -32,6 +32,7 @@
   std::size_t UnsentBytes(ConnectionId) const override { return 0; }
   void Close(ConnectionId connection) override;
   void CloseLingering(ConnectionId connection) override { Close(connection); }
+  std::size_t ClosingCount() const override { return 0; }
   void ReadArrived(ConnectionId /*connection*/) override {}
   void Abort(ConnectionId connection) override;
   TimerId After(std::chrono::milliseconds delay,
