Send streams to HTTP/1.0 callers without chunks

A stream to an HTTP/1.0 caller was chunked, so the caller found chunk sizes in its body. It now ends with its connection. "a stream to an HTTP/1.0 caller ends with its connection" failed before.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -143,6 +143,7 @@
     std::string body = std::move(connection->body);
     connection->body.clear();
     connection->keep_alive = connection->parser.keep_alive();
+    connection->accepts_chunks = connection->parser.accepts_chunks();
     connection->continue_sent = false;
     connection->parsed_bytes = 0;
     connection->parser.Reset();
@@ -256,7 +257,11 @@
   if (connection == nullptr || !connection->in_request) {
     return;
   }
-  head.headers.Add("Transfer-Encoding", "chunked");
+  if (connection->accepts_chunks) {
+    head.headers.Add("Transfer-Encoding", "chunked");
+  } else {
+    connection->keep_alive = false;
+  }
   AddConnectionField(*connection, &head);
   connection->streaming = true;
   transport_->Send(id, SerializeResponseHead(head));
@@ -265,14 +270,20 @@
 void CallerServer::SendStream(ConnectionId id, std::string_view data) {
   Connection* connection = Find(id);
   if (connection != nullptr && connection->streaming && !data.empty()) {
-    transport_->Send(id, SerializeChunk(data));
+    if (connection->accepts_chunks) {
+      transport_->Send(id, SerializeChunk(data));
+    } else {
+      transport_->Send(id, data);
+    }
   }
 }
 
 void CallerServer::EndStream(ConnectionId id) {
   Connection* connection = Find(id);
   if (connection != nullptr && connection->streaming) {
-    transport_->Send(id, kLastChunk);
+    if (connection->accepts_chunks) {
+      transport_->Send(id, kLastChunk);
+    }
     FinishResponse(id, connection);
   }
 }
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -103,6 +103,8 @@
     bool continue_sent = false;
     bool keep_alive = true;
     bool streaming = false;
+    // Without chunks, the end of the connection ends a stream.
+    bool accepts_chunks = true;
     bool parsing = false;
     // No request has started to arrive yet.
     bool unused = true;
--- a/src/http1/http_parser_adapter.h
+++ b/src/http1/http_parser_adapter.h
@@ -54,6 +54,12 @@
   bool has_framing() const { return has_framing_; }
   // True if the connection can be reused after this message.
   bool keep_alive() const { return keep_alive_; }
+  // Whether the sender of a request understands chunks. Valid once the head is
+  // complete.
+  bool accepts_chunks() const {
+    return parser_.http_major > 1 ||
+           (parser_.http_major == 1 && parser_.http_minor >= 1);
+  }
   // An interim response (1xx).
   bool interim() const {
     return kind_ == Kind::kResponse && response_.status / 100 == 1;
--- a/tests/unit/gateway/caller_server_test.cc
+++ b/tests/unit/gateway/caller_server_test.cc
@@ -277,5 +277,22 @@
   CHECK(f.handler.rejected == std::vector<int>{408});
 }
 
+// Guards against chunk sizes in the middle of the body of an HTTP/1.0 caller.
+TEST_CASE("a stream to an HTTP/1.0 caller ends with its connection",
+          "[gateway]") {
+  ServerFixture f;
+  ConnectionId caller = f.Connect();
+  f.transport.Receive(
+      caller, "GET /x HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n");
+  f.server.BeginStream(caller, Ok());
+  f.server.SendStream(caller, "one");
+  f.server.SendStream(caller, "two");
+  f.server.EndStream(caller);
+  std::string sent = f.transport.TakeSent(caller);
+  CHECK_FALSE(Contains(sent, "chunked"));
+  CHECK(sent.substr(sent.find("\r\n\r\n") + 4) == "onetwo");
+  CHECK(f.transport.At(caller).closed);
+}
+
 }  // namespace
 }  // namespace filbertshift
