Test a dropped failure of a waiting request

Suspected: a request that waits for another endpoint gets no answer if the body of its failure is dropped to make room. It gets 502: the test passes, and the code in question is unchanged.

--- a/tests/unit/gateway/endless_answer_test.cc
+++ b/tests/unit/gateway/endless_answer_test.cc
@@ -105,6 +105,29 @@
   }
 }
 
+// Guards against a request that ends without an answer when the body of its
+// failure is dropped to make room while it waits for another endpoint.
+TEST_CASE("a waiting request whose failure is dropped is answered",
+          "[gateway]") {
+  constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
+  ForwarderFixture f;
+  ConnectionId waiting = f.Request("POST", "/safe/x", "a", "", "b");
+  Arrival failed = f.NextArrival();
+  ConnectionId sound = f.Request("POST", "/once/x", "b", "", "b");
+  Arrival long_answer = f.NextArrival();
+  f.forwarder.OnEndpointRemoved(EndpointId("e1"));
+  f.forwarder.OnEndpointRemoved(EndpointId("e2"));
+  f.Respond(failed, ForwarderFixture::WholeResponse(
+                        500, "a", std::string(40 * kMegabyte, 'f')));
+  std::string answer = ForwarderFixture::WholeResponse(
+      200, "b", std::string(30 * kMegabyte, 's'));
+  f.Respond(long_answer, answer.substr(0, answer.size() - 1));
+  f.transport.Advance(milliseconds(100));
+  CHECK(Contains(f.transport.TakeSent(waiting), "HTTP/1.1 502"));
+  f.Respond(long_answer, answer.substr(answer.size() - 1));
+  CHECK(Contains(f.transport.TakeSent(sound), "HTTP/1.1 200"));
+}
+
 TEST_CASE("an event without end breaks off its stream", "[gateway]") {
   ForwarderFixture f;
   ConnectionId caller = f.Request("POST", "/stream/x", "r1", "", "b");
