Honour endpoints that announce their leaving or ask to be spared

Endpoints say in the heads of their answers that they stop, or add Retry-After to a refusal. Neither was read: a leaving endpoint whose record still said ready got requests until the record changed, and a full one was asked again after 60 ms, which cost callers time and repeats.

The adapter translates the two fields into ResponseMetadata. EndpointNotices keeps them by id, address and start. A leaving endpoint is no candidate until it starts again, whatever its record says. A paused one is not used until its time is over (endpoint_retry_after_limit at most), not even where every other endpoint is avoided. Requests that still wait for a connection to such an endpoint are placed elsewhere. If all endpoints are paused and none comes free within the usual wait, callers get 503 at once with the time until the first is free, spread upward by the request's id. A pause counts neither against the endpoint's health nor as evidence against its version.

Every answer to the request counts, with a seal or without, as refusals have none. Copies that name another request do not: the answer to the own request repeats what still holds. Nor does 421, which comes from another endpoint at that address. A record without a start time counts as the incarnation before, unless it returns more than 5 s after its removal: records that lapse in an outage return about 2 s after it.

Ruled out: telling other instances. Each learns it with its own next request, which the leaving endpoint still serves, and a pause binds one instance only.

--- a/src/common/common.h
+++ b/src/common/common.h
@@ -11,6 +11,7 @@
 #include "src/common/event_log.h"
 #include "src/common/finding.h"
 #include "src/common/ids.h"
+#include "src/common/retry_after.h"
 #include "src/common/sha256.h"
 #include "src/common/tcp_socket.h"
 
--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -164,6 +164,15 @@
        "The record of an endpoint is gone; it gets no new requests."},
       {EventId::kEvacuationChanged, kInfo, "evacuation_changed",
        "Operators started or ended the evacuation of a data centre."},
+      {EventId::kEndpointLeaving, kInfo, "endpoint_leaving",
+       "An endpoint said in an answer that it stops; it gets no new requests "
+       "from this instance."},
+      {EventId::kEndpointPaused, kInfo, "endpoint_paused",
+       "An endpoint refused a request and asked for none for a while; the "
+       "detail has the time asked for and the time kept, in ms."},
+      {EventId::kEndpointFieldRejected, kWarning, "endpoint_field_rejected",
+       "A header field of an endpoint's answer cannot be read; it has no "
+       "effect."},
       {EventId::kRolloutOrdered, kInfo, "rollout_ordered",
        "Operators have ordered a rollout."},
       {EventId::kRolloutProgress, kInfo, "rollout_progress",
--- a/src/dispatch/attempt_result.cc
+++ b/src/dispatch/attempt_result.cc
@@ -8,6 +8,8 @@
       return "answered";
     case AttemptResult::kRefused:
       return "refused";
+    case AttemptResult::kPaused:
+      return "paused";
     case AttemptResult::kFailed:
       return "failed";
     case AttemptResult::kBroken:
--- a/src/dispatch/attempt_result.h
+++ b/src/dispatch/attempt_result.h
@@ -11,6 +11,9 @@
   kAnswered,
   // The endpoint reported that it did not execute the request.
   kRefused,
+  // The endpoint refused the request and asked for no further ones for a while;
+  // says nothing about its health.
+  kPaused,
   // The endpoint itself returned an error.
   kFailed,
   // Connection reset, closed or timed out, or the response was malformed.
--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -56,9 +56,10 @@
   hash = XXH64(id.data(), id.size(), 0);
 }
 
-EndpointPool::EndpointPool(ColdLimits cold_limits)
+EndpointPool::EndpointPool(ColdLimits cold_limits, milliseconds max_pause)
     : cold_limits_(cold_limits),
-      evacuated_([](const DataCentreId&) { return false; }) {}
+      evacuated_([](const DataCentreId&) { return false; }),
+      notices_(max_pause) {}
 
 void EndpointPool::SetConfiguration(
     std::shared_ptr<const FleetConfiguration> value) {
@@ -71,6 +72,7 @@
 }
 
 void EndpointPool::Update(const RoutedEndpoint& record, TimePoint now) {
+  notices_.OnRecord(record, now);
   auto found = entries_.find(record.endpoint);
   if (found == entries_.end()) {
     found = entries_.emplace(record.endpoint, Entry(record)).first;
@@ -86,7 +88,8 @@
   }
 }
 
-void EndpointPool::Remove(const EndpointId& endpoint) {
+void EndpointPool::Remove(const EndpointId& endpoint, TimePoint now) {
+  notices_.OnRecordRemoved(endpoint, now);
   auto found = entries_.find(endpoint);
   if (found != entries_.end()) {
     const Entry& entry = found->second;
@@ -136,6 +139,7 @@
         const RoutedEndpoint& record = item.second.record;
         return record.service == service &&
                record.state == EndpointState::kReady &&
+               !notices_.IsLeaving(record.endpoint) &&
                (record.version == version) == same_version;
       }));
 }
@@ -151,6 +155,7 @@
   const RoutedEndpoint& record = entry.record;
   return record.service == query.service &&
          record.state == EndpointState::kReady &&
+         !notices_.IsLeaving(record.endpoint) &&
          (!query.allows_version || query.allows_version(record.version)) &&
          !evacuated_(record.data_centre) &&
          (query.model.empty() || record.models.empty() ||
@@ -276,11 +281,19 @@
   // In the order of preference; null where an endpoint cannot be used.
   std::vector<Entry*> ranked;
   std::size_t usable = 0;
+  bool all_paused = true;
+  TimePoint free_at = TimePoint::max();
   for (Entry* entry : candidates) {
     if (max_usable > 0 && usable == max_usable) {
       break;
     }
-    if (ColdLimitReached(entry, now)) {
+    std::optional<TimePoint> paused_until =
+        notices_.PausedUntil(entry->record.endpoint, now);
+    all_paused = all_paused && paused_until.has_value();
+    if (paused_until.has_value()) {
+      ranked.push_back(nullptr);
+      free_at = std::min(free_at, *paused_until);
+    } else if (ColdLimitReached(entry, now)) {
       ranked.push_back(nullptr);
     } else if (IsAvoided(entry, mean_failure_rate, now)) {
       ranked.push_back(nullptr);
@@ -316,6 +329,9 @@
   if (best == nullptr) {
     best = avoided;
   }
+  if (best == nullptr && all_paused) {
+    return {std::nullopt, NoEndpointReason::kPaused, free_at};
+  }
   if (best == nullptr) {
     return {std::nullopt, NoEndpointReason::kColdLimit};
   }
@@ -411,6 +427,7 @@
       }
       break;
     }
+    case AttemptResult::kPaused:
     case AttemptResult::kCancelled:
       break;
   }
--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -15,6 +15,7 @@
 
 #include "src/dispatch/attempt_result.h"
 #include "src/dispatch/endpoint_activity.h"
+#include "src/dispatch/endpoint_notices.h"
 #include "src/dispatch/sliding_counter.h"
 #include "src/fleet/fleet_documents.h"
 
@@ -51,13 +52,17 @@
   kNone,
   // No ready endpoint of the service may execute the request.
   kNoCandidate,
-  // All candidates are cold and have reached their rate limits.
+  // All candidates are cold and have reached their rate limits, or are paused.
   kColdLimit,
+  // All candidates have asked for no requests for a while.
+  kPaused,
 };
 
 struct DispatchChoice {
   std::optional<EndpointId> endpoint;
   NoEndpointReason reason = NoEndpointReason::kNone;
+  // With kPaused, when the first pause ends.
+  TimePoint free_at{};
 };
 
 struct ColdLimits {
@@ -69,7 +74,10 @@
 
 class EndpointPool {
  public:
-  explicit EndpointPool(ColdLimits cold_limits);
+  static constexpr std::chrono::seconds kDefaultMaxPause{30};
+
+  explicit EndpointPool(ColdLimits cold_limits,
+                        std::chrono::milliseconds max_pause = kDefaultMaxPause);
 
   void SetInstanceCount(int count) { instances_ = count; }
   // While false, no requests go to cold endpoints: the other instances may not
@@ -78,7 +86,7 @@
   void SetConfiguration(std::shared_ptr<const FleetConfiguration> value);
   void SetEvacuated(std::function<bool(const DataCentreId&)> evacuated);
   void Update(const RoutedEndpoint& record, TimePoint now);
-  void Remove(const EndpointId& endpoint);
+  void Remove(const EndpointId& endpoint, TimePoint now);
 
   DispatchChoice Choose(const DispatchQuery& query, TimePoint now);
 
@@ -96,6 +104,8 @@
              AttemptResult result,
              TimePoint now);
 
+  EndpointNotices& notices() { return notices_; }
+  const EndpointNotices& notices() const { return notices_; }
   const RoutedEndpoint* Find(const EndpointId& endpoint) const;
   int InFlight(const EndpointId& endpoint) const;
   // The endpoint has sent no bytes on any connection for so long that its
@@ -153,6 +163,7 @@
   int instances_ = 1;
   bool cold_allowed_ = false;
   std::unordered_map<EndpointId, Entry> entries_;
+  EndpointNotices notices_;
   std::unordered_map<DataCentreId, EndpointActivity> data_centres_;
 };
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -20,6 +20,7 @@
 struct EndpointAttempt {
   CallId call{};
   EndpointId endpoint;
+  EndpointIncarnation incarnation;
   VersionId version;
   ModelId model;
   WorkEstimate work;
@@ -87,6 +88,8 @@
   // succeeds.
   std::optional<HttpResponseHead> failure_head;
   std::string failure_body;
+  // Set if all endpoints are paused: when the caller may try again.
+  std::optional<std::chrono::milliseconds> retry_after;
   // Why the latest attempt ended without a response, for the log.
   std::string failure_detail;
 };
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -70,7 +70,7 @@
       data_centre_(std::move(data_centre)),
       limits_(limits),
       client_(transport, connect_timeout, ResponseLimits()),
-      pool_(limits.cold),
+      pool_(limits.cold, limits.max_endpoint_pause),
       repeats_(limits.repeats),
       buffers_(limits.max_buffered_bytes),
       versions_(limits.session_retention) {
@@ -90,7 +90,7 @@
   if (record != nullptr) {
     client_.CloseIdle(record->address);
   }
-  pool_.Remove(endpoint);
+  pool_.Remove(endpoint, transport_->Now());
 }
 
 int Forwarder::CountOnOtherVersions(const ServiceId& service,
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -26,6 +26,8 @@
   std::size_t max_buffered_bytes = std::size_t{64} * 1024 * 1024;
   // Bytes of one event of a stream.
   std::size_t max_event_bytes = std::size_t{1024} * 1024;
+  // Longest pause that an endpoint may ask for.
+  std::chrono::milliseconds max_endpoint_pause{30000};
   RepeatLimits repeats;
   ColdLimits cold;
 };
@@ -58,6 +60,8 @@
   std::size_t in_progress() const { return exchanges_.size(); }
   // Bytes of responses held for their rest or for slow callers.
   std::size_t buffered_bytes() const { return buffers_.total(); }
+  // What endpoints have asked this instance for in their answers.
+  const EndpointNotices& notices() const { return pool_.notices(); }
   // Requests of this instance in progress at the endpoint.
   int InFlight(const EndpointId& endpoint) const {
     return pool_.InFlight(endpoint);
@@ -108,7 +112,7 @@
   void StartAttempt(Exchange* exchange, const RoutedEndpoint& endpoint);
   std::string EncodeAttempt(const Exchange& exchange,
                             const RoutedEndpoint& endpoint) const;
-  void WaitForEndpoint(Exchange* exchange, NoEndpointReason reason);
+  void WaitForEndpoint(Exchange* exchange, const DispatchChoice& choice);
   void EndAttempt(Exchange* exchange, AttemptResult result);
   // Cancels the attempt and retries at another endpoint if that is allowed.
   void MoveAttempt(Exchange* exchange, std::string_view reason);
@@ -119,6 +123,13 @@
   void UpdateWaits(TimePoint now);
   bool IsSilent(const Exchange& exchange, TimePoint now) const;
 
+  // Notices of endpoints.
+  void ApplyNotices(const Exchange& exchange,
+                    const ResponseMetadata& metadata,
+                    const std::vector<Finding>& findings);
+  // Sends requests elsewhere that wait for a connection to the endpoint.
+  void MoveUnsentRequests(const EndpointId& endpoint);
+
   // Responses.
   void CompleteBuffered(Exchange* exchange);
   void CompleteStream(Exchange* exchange);
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -11,6 +11,7 @@
 
 namespace {
 
+using std::chrono::duration;
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
@@ -69,7 +70,8 @@
 
 HeadDecision Forwarder::OnHead(CallId call, const HttpResponseHead& head) {
   Exchange* exchange = Find(call);
-  ResponseMetadata response_metadata = codec_.DecodeResponse(head);
+  std::vector<Finding> findings;
+  ResponseMetadata response_metadata = codec_.DecodeResponse(head, &findings);
   if (!response_metadata.request_id.empty() &&
       response_metadata.request_id != exchange->metadata.request_id) {
     log_->Write(
@@ -80,6 +82,7 @@
         fmt::format("response to request {}", response_metadata.request_id));
     return HeadDecision::kSkip;
   }
+  ApplyNotices(*exchange, response_metadata, findings);
   EndpointAttempt& attempt = *exchange->attempt;
   TimePoint now = transport_->Now();
   attempt.head_seen = true;
@@ -320,23 +323,29 @@
   EndpointAttempt& attempt = *exchange->attempt;
   int status = attempt.head.status;
   exchange->failure_detail = fmt::format("status {}", status);
+  bool paused = attempt.response_metadata.pause.has_value();
   if (attempt.response_metadata.not_run) {
-    EndAttempt(exchange, AttemptResult::kRefused);
+    EndAttempt(exchange,
+               paused ? AttemptResult::kPaused : AttemptResult::kRefused);
     Repeat(exchange, "refused");
     return;
   }
   ++exchange->runs;
   if (!IsGenuine(attempt) || IsSuccess(status)) {
     exchange->failure_detail += " without seal or id";
-    EndAttempt(exchange, AttemptResult::kBroken);
+    EndAttempt(exchange,
+               paused ? AttemptResult::kPaused : AttemptResult::kBroken);
     Repeat(exchange, "unsealed");
     return;
   }
-  RecordOutcome(*exchange, status >= 500);
+  if (!paused) {
+    RecordOutcome(*exchange, status >= 500);
+  }
   exchange->failure_head = HeadForCaller(attempt.head);
   exchange->failure_body = std::move(attempt.body);
-  EndAttempt(exchange,
-             status >= 500 ? AttemptResult::kFailed : AttemptResult::kAnswered);
+  AttemptResult result =
+      status >= 500 ? AttemptResult::kFailed : AttemptResult::kAnswered;
+  EndAttempt(exchange, paused ? AttemptResult::kPaused : result);
   if (status >= 500) {
     Repeat(exchange, "failed");
   } else {
@@ -403,7 +412,10 @@
   HttpResponseHead head{status, std::string(ReasonPhrase(status)), {}};
   head.headers.Add("Content-Type", "application/json");
   if (status == 503) {
-    head.headers.Add("Retry-After", fmt::format("{}", kRetryAfterSeconds));
+    double seconds = exchange->retry_after.has_value()
+                         ? duration<double>(*exchange->retry_after).count()
+                         : kRetryAfterSeconds;
+    head.headers.Add("Retry-After", fmt::format("{}", seconds));
   }
   ConnectionId caller = exchange->caller;
   Finish(exchange, status, code);
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -122,14 +122,14 @@
     auto order = view_.orders().find(exchange->service);
     if (order != view_.orders().end() &&
         !RuleFor(*exchange).Allows(order->second.to)) {
-      WaitForEndpoint(exchange, choice.reason);
+      WaitForEndpoint(exchange, choice);
       return;
     }
     query.allows_version = nullptr;
     choice = pool_.Choose(query, now);
   }
   if (!choice.endpoint.has_value()) {
-    WaitForEndpoint(exchange, choice.reason);
+    WaitForEndpoint(exchange, choice);
     return;
   }
   exchange->waiting_since.reset();
@@ -137,7 +137,8 @@
   StartAttempt(exchange, endpoint);
 }
 
-void Forwarder::WaitForEndpoint(Exchange* exchange, NoEndpointReason reason) {
+void Forwarder::WaitForEndpoint(Exchange* exchange,
+                                const DispatchChoice& choice) {
   TimePoint now = transport_->Now();
   if (!exchange->waiting_since.has_value()) {
     exchange->waiting_since = now;
@@ -145,8 +146,19 @@
   milliseconds limit = exchange->response_started
                            ? kMaxResumeWait
                            : exchange->route->objective / kMaxWaitDivisor;
-  if (now - *exchange->waiting_since >= limit) {
-    exchange->failure_detail = reason == NoEndpointReason::kColdLimit
+  TimePoint wait_end = *exchange->waiting_since + limit;
+  if (choice.reason == NoEndpointReason::kPaused &&
+      (now >= wait_end ||
+       (choice.free_at > wait_end && !exchange->response_started))) {
+    exchange->failure_detail = "endpoints paused";
+    exchange->retry_after =
+        SpreadRetryAfter(std::chrono::ceil<milliseconds>(choice.free_at - now),
+                         exchange->metadata.request_id);
+    GiveUp(exchange, 503, "endpoints_paused");
+    return;
+  }
+  if (now >= wait_end) {
+    exchange->failure_detail = choice.reason == NoEndpointReason::kColdLimit
                                    ? "endpoints at cold limit"
                                    : "no endpoint available";
     GiveUp(exchange, 503, "no_endpoint");
@@ -170,6 +182,7 @@
   TimePoint now = transport_->Now();
   EndpointAttempt attempt;
   attempt.endpoint = endpoint.endpoint;
+  attempt.incarnation = IncarnationOf(endpoint);
   attempt.version = endpoint.version;
   attempt.model = exchange->model;
   attempt.work = QueryFor(*exchange).work;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -54,6 +54,7 @@
       settings.response_buffer_mb * kBytesPerMegabyte;
   forwarder_limits.max_event_bytes =
       settings.event_buffer_kb * kBytesPerKilobyte;
+  forwarder_limits.max_endpoint_pause = settings.endpoint_retry_after_limit;
   forwarder_limits.cold.overshoot = settings.cold_overshoot;
   forwarder_limits.cold.tolerance = settings.cold_tolerance;
   return forwarder_limits;
--- a/src/gateway/gateway_ports.h
+++ b/src/gateway/gateway_ports.h
@@ -63,6 +63,12 @@
   bool not_run = false;
   // The body has a content encoding, so it is not what the endpoint sent.
   bool encoded = false;
+  // The response comes from another endpoint than the request was for.
+  bool misdirected = false;
+  // The endpoint is about to stop and wants no new requests.
+  bool leaving = false;
+  // The endpoint has refused the request and wants no others for this long.
+  std::optional<std::chrono::milliseconds> pause;
   // The model's confidence in its output, 0 to 100.
   std::optional<int> confidence;
 };
@@ -78,8 +84,10 @@
   // that only the router may set, plus `fields`.
   virtual HttpHeaders EncodeForEndpoint(const HttpHeaders& from_caller,
                                         const EndpointFields& fields) const = 0;
+  // As above.
   virtual ResponseMetadata DecodeResponse(
-      const HttpResponseHead& head) const = 0;
+      const HttpResponseHead& head,
+      std::vector<Finding>* findings) const = 0;
 };
 
 struct StoreRequest {
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -111,6 +111,11 @@
       IntegerField("event_buffer_kb", &S::event_buffer_kb, kOptional,
                    ValueRange<std::size_t>{1, 1048576}, "KB",
                    "Maximum size of one event of a stream."),
+      DurationField("endpoint_retry_after_limit",
+                    &S::endpoint_retry_after_limit, kOptional,
+                    {milliseconds(100), minutes(60)},
+                    "Longest time without requests that an endpoint may ask "
+                    "for with Retry-After; longer ones are shortened to it."),
       SeverityField(&S::log_severity,
                     "Minimum severity of the events on standard output."),
       IntegerField("log_buffer_lines", &S::log_buffer_lines, kOptional,
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -59,6 +59,8 @@
   // one incomplete event of a stream.
   std::size_t response_buffer_mb = 64;
   std::size_t event_buffer_kb = 1024;
+  // Longest pause that an endpoint may ask for.
+  std::chrono::milliseconds endpoint_retry_after_limit{30000};
   Severity log_severity = Severity::kInfo;
   std::size_t log_buffer_lines = 20000;
 };
--- a/src/gateway/operator_pages.cc
+++ b/src/gateway/operator_pages.cc
@@ -86,18 +86,31 @@
       .dump();
 }
 
+std::string_view OperatorPages::StateOf(const RoutedEndpoint& record) const {
+  const EndpointNotices& notices = forwarder_.notices();
+  if (view_.IsEvacuated(record.data_centre)) {
+    return "evacuated";
+  }
+  if (record.state == EndpointState::kDraining) {
+    return "draining";
+  }
+  if (notices.IsLeaving(record.endpoint)) {
+    return "leaving";
+  }
+  return notices.PausedUntil(record.endpoint, transport_.Now()).has_value()
+             ? "paused"
+             : "ready";
+}
+
 std::string OperatorPages::EndpointsPage() const {
   json endpoints = json::array();
   for (const auto& [endpoint, record] : view_.endpoints()) {
-    endpoints.push_back(
-        {{"endpoint", endpoint.value()},
-         {"data_centre", record.data_centre.value()},
-         {"version", record.version.value()},
-         {"service", record.service.value()},
-         {"state", view_.IsEvacuated(record.data_centre)      ? "evacuated"
-                   : record.state == EndpointState::kDraining ? "draining"
-                                                              : "ready"},
-         {"in_flight", forwarder_.InFlight(endpoint)}});
+    endpoints.push_back({{"endpoint", endpoint.value()},
+                         {"data_centre", record.data_centre.value()},
+                         {"version", record.version.value()},
+                         {"service", record.service.value()},
+                         {"state", StateOf(record)},
+                         {"in_flight", forwarder_.InFlight(endpoint)}});
   }
   return json{{"endpoints", std::move(endpoints)}}.dump();
 }
--- a/src/gateway/operator_pages.h
+++ b/src/gateway/operator_pages.h
@@ -31,6 +31,8 @@
   std::string InstancePage() const;
   std::string EndpointsPage() const;
   std::string RolloutsPage() const;
+  // How this instance uses the endpoint.
+  std::string_view StateOf(const RoutedEndpoint& record) const;
 
   const InstanceId instance_;
   const DataCentreId data_centre_;
--- a/tests/unit/gateway/forwarder_fixture.h
+++ b/tests/unit/gateway/forwarder_fixture.h
@@ -20,6 +20,14 @@
   void Write(EventId, const EventContext&, std::string) override {}
 };
 
+class EventCounter : public NullEventLog {
+ public:
+  void Write(EventId event, const EventContext&, std::string) override {
+    ++counts[event];
+  }
+  std::map<EventId, int> counts;
+};
+
 class ForwarderFixture : public FleetViewListener {
  public:
   // Sets up one service with endpoints "e1" to "eN" and the routes /once/ (not
@@ -57,7 +65,7 @@
   static std::string Event(int number);
 
   FakeTransport transport;
-  NullEventLog log;
+  EventCounter log;
   GatewayMetrics metrics;
   HeaderCodec headers;
   DocumentDecoder documents;
