Let emulated engines and services announce a stop and ask for pauses

Tests had no endpoint that adds header fields of its choice to all answers, or Retry-After to refusals. The names of the fields come from the test, as the emulator does not know the platform.

--- a/emulator/engine/engine_faults.cc
+++ b/emulator/engine/engine_faults.cc
@@ -19,6 +19,8 @@
   }
   control->Read("truncate_cut", &changed.truncate_cut);
   control->Read("refuse", &changed.refuse);
+  control->Read("retry_after", &changed.retry_after);
+  control->ReadFields("headers", &changed.headers);
   control->Read("bad_quality", &changed.bad_quality);
   control->Finish();
   if (changed.slow <= 0) {
--- a/emulator/engine/engine_faults.h
+++ b/emulator/engine/engine_faults.h
@@ -5,6 +5,8 @@
 
 #include <cstddef>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "emulator/http/http.h"
 
@@ -32,6 +34,10 @@
   bool truncate_cut = false;
   // Rejects requests with 503 and X-Not-Run: true.
   bool refuse = false;
+  // Retry-After of these refusals; none if empty.
+  std::string retry_after;
+  // Added to every response, such as the announcement of a planned stop.
+  std::vector<HttpField> headers;
   // Generates bad-quality tokens, which the emulated rating service recognises.
   bool bad_quality = false;
 
--- a/emulator/engine/engine_service.cc
+++ b/emulator/engine/engine_service.cc
@@ -51,8 +51,8 @@
 }
 
 HttpResponse EngineService::HandleControl(const HttpRequest& request) {
-  std::lock_guard<std::mutex> lock(mutex_);
   if (request.path == "/_history") {
+    std::lock_guard<std::mutex> lock(mutex_);
     const std::string after = request.QueryValue("after");
     return JsonResponse(
         200, history_.ToJson(std::strtoull(after.c_str(), nullptr, 10)));
@@ -60,8 +60,15 @@
   if (request.path != "/_control") {
     return ErrorResponse(404, "unknown path");
   }
-  ControlReader control(request.body);
+  ApplyControl(request.body);
+  return JsonResponse(200, Json{{"ok", true}});
+}
+
+void EngineService::ApplyControl(const std::string& body) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ControlReader control(body);
   faults_.Apply(&control);
+  server().SetExtraHeaders(faults_.headers);
   batch_.set_slowdown_factor(faults_.slow);
   batch_.set_hung(faults_.hang);
   if (std::exchange(faults_.crash, false)) {
@@ -71,7 +78,6 @@
     EndIncarnation("silent restart by control", std::chrono::milliseconds(0));
   }
   ScheduleStep();
-  return JsonResponse(200, Json{{"ok", true}});
 }
 
 void EngineService::HandleRequest(ExchangeId exchange, HttpRequest request) {
@@ -105,7 +111,11 @@
                                const HttpRequest& http_request) {
   const std::string request_id = http_request.Header("X-Request-Id");
   if (faults_.refuse) {
-    Refuse(exchange, request_id, NotRunError(503, "refused"));
+    HttpResponse response = NotRunError(503, "refused");
+    if (!faults_.retry_after.empty()) {
+      response.headers.push_back({"Retry-After", faults_.retry_after});
+    }
+    Refuse(exchange, request_id, std::move(response));
     return;
   }
   ChatRequest request;
--- a/emulator/engine/engine_service.h
+++ b/emulator/engine/engine_service.h
@@ -33,6 +33,8 @@
   EngineService(const ServicePorts& ports, EngineSettings settings);
   ~EngineService() override;
 
+  void ApplyControl(const std::string& body) override;
+
  protected:
   HttpResponse HandleControl(const HttpRequest& request) override;
   void HandleRequest(ExchangeId exchange, HttpRequest request) override;
--- a/emulator/http/control_reader.cc
+++ b/emulator/http/control_reader.cc
@@ -1,6 +1,7 @@
 #include "emulator/http/control_reader.h"
 
 #include <cstdint>
+#include <map>
 
 namespace filbertshift::emulator {
 
@@ -24,6 +25,19 @@
   return true;
 }
 
+bool ControlReader::ReadFields(const std::string& key,
+                               std::vector<HttpField>* out) {
+  std::map<std::string, std::string> fields;
+  if (!Read(key, &fields)) {
+    return false;
+  }
+  out->clear();
+  for (const auto& [name, value] : fields) {
+    out->push_back({name, value});
+  }
+  return true;
+}
+
 void ControlReader::Finish() const {
   for (const auto& entry : json_.items()) {
     if (read_keys_.count(entry.key()) == 0) {
--- a/emulator/http/control_reader.h
+++ b/emulator/http/control_reader.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 #include "emulator/http/http_message.h"
 
@@ -43,6 +44,9 @@
   // Reads a non-negative number of milliseconds.
   bool ReadDuration(const std::string& key, std::chrono::milliseconds* out);
 
+  // Reads an object of header fields.
+  bool ReadFields(const std::string& key, std::vector<HttpField>* out);
+
   // Throws ControlError if the body contains a key that was not read.
   void Finish() const;
 
--- a/emulator/http/emulated_service.h
+++ b/emulator/http/emulated_service.h
@@ -34,6 +34,10 @@
   // are destroyed.
   void Stop();
 
+  // Applies the body of a control request. If it throws ControlError, no
+  // setting has changed.
+  virtual void ApplyControl(const std::string& body) = 0;
+
   const ListenAddress& address() const { return server_.address(); }
   // Null if there is no control port.
   const ListenAddress* control_address() const;
--- a/emulator/http/faulty_service.h
+++ b/emulator/http/faulty_service.h
@@ -16,9 +16,7 @@
  public:
   using EmulatedService::EmulatedService;
 
-  // Applies the body of a control request. If it throws ControlError, no
-  // setting has changed.
-  void ApplyControl(const std::string& body);
+  void ApplyControl(const std::string& body) override;
 
  protected:
   // Called on the scheduler thread, for one request at a time.
--- a/emulator/http/http_server.cc
+++ b/emulator/http/http_server.cc
@@ -94,6 +94,11 @@
   daemon_ = nullptr;
 }
 
+void HttpServer::SetExtraHeaders(std::vector<HttpField> headers) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  extra_headers_ = std::move(headers);
+}
+
 void HttpServer::Respond(ExchangeId exchange, HttpResponse response) {
   std::lock_guard<std::mutex> lock(mutex_);
   Exchange* found = Find(exchange);
@@ -101,6 +106,8 @@
     return;
   }
   found->response = std::move(response);
+  found->response.headers.insert(found->response.headers.end(),
+                                 extra_headers_.begin(), extra_headers_.end());
   found->state = State::kReady;
   ResumeLocked(found);
 }
@@ -115,6 +122,8 @@
   }
   found->response.status = status;
   found->response.headers = std::move(headers);
+  found->response.headers.insert(found->response.headers.end(),
+                                 extra_headers_.begin(), extra_headers_.end());
   found->streaming = true;
   found->state = State::kStreaming;
   ResumeLocked(found);
--- a/emulator/http/http_server.h
+++ b/emulator/http/http_server.h
@@ -59,6 +59,8 @@
 
   const ListenAddress& address() const { return address_; }
 
+  // Adds the fields to every response from now on.
+  void SetExtraHeaders(std::vector<HttpField> headers);
   void Respond(ExchangeId exchange, HttpResponse response);
   void StartStream(ExchangeId exchange,
                    int status,
@@ -124,6 +126,7 @@
   std::mutex mutex_;
   bool stopping_ = false;
   std::uint64_t last_id_ = 0;
+  std::vector<HttpField> extra_headers_;
   std::map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
 };
 
--- a/emulator/main/command.cc
+++ b/emulator/main/command.cc
@@ -69,7 +69,7 @@
 }
 
 void ApplyFaultOption(const options::variables_map& values,
-                      FaultyService* service) {
+                      EmulatedService* service) {
   if (values.count("faults") == 0) {
     return;
   }
--- a/emulator/main/command.h
+++ b/emulator/main/command.h
@@ -49,11 +49,11 @@
 // Reads a JSON file that may contain comments. Throws UsageError.
 Json ReadJsonFile(const std::string& path);
 
-// Adds the option --faults for services that accept the common control keys.
+// Adds the option --faults.
 void AddFaultOption(boost::program_options::options_description* options);
 // Throws UsageError.
 void ApplyFaultOption(const boost::program_options::variables_map& values,
-                      FaultyService* service);
+                      EmulatedService* service);
 
 // Starts the service, prints its addresses and waits for SIGINT or SIGTERM.
 int Serve(EmulatedService* service);
--- a/emulator/main/engine_command.cc
+++ b/emulator/main/engine_command.cc
@@ -88,12 +88,14 @@
 int RunEngineCommand(const std::vector<std::string>& arguments) {
   options::options_description description("filbertshift-emulator engine");
   AddPortOptions(&description);
+  AddFaultOption(&description);
   AddEngineOptions(&description);
   options::variables_map values;
   if (!ParseOptions(arguments, description, &values)) {
     return 0;
   }
   EngineService service(ReadPorts(values), ReadEngineSettings(values));
+  ApplyFaultOption(values, &service);
   return Serve(&service);
 }
 
--- a/emulator/main/service_command.cc
+++ b/emulator/main/service_command.cc
@@ -7,6 +7,7 @@
   namespace options = boost::program_options;
   options::options_description description("filbertshift-emulator service");
   AddPortOptions(&description);
+  AddFaultOption(&description);
   description.add_options()(
       "name", options::value<std::string>()->default_value("service"),
       "name of the service in its answers")(
@@ -19,6 +20,7 @@
   PlainService service(
       ReadPorts(values), values["name"].as<std::string>(),
       std::chrono::milliseconds(values["restart-ms"].as<int>()));
+  ApplyFaultOption(values, &service);
   return Serve(&service);
 }
 
--- a/emulator/service/plain_service.cc
+++ b/emulator/service/plain_service.cc
@@ -15,6 +15,8 @@
   control->Read("hang", &hang);
   control->Read("hang_after", &hang_after);
   control->Read("refuse", &refuse);
+  control->Read("retry_after", &retry_after);
+  control->ReadFields("headers", &headers);
 }
 
 PlainService::PlainService(const ServicePorts& ports,
@@ -30,8 +32,8 @@
 }
 
 HttpResponse PlainService::HandleControl(const HttpRequest& request) {
-  std::lock_guard<std::mutex> lock(mutex_);
   if (request.path == "/_history") {
+    std::lock_guard<std::mutex> lock(mutex_);
     const std::string after = request.QueryValue("after");
     return JsonResponse(200,
                         log_.ToJson(std::strtoull(after.c_str(), nullptr, 10)));
@@ -39,17 +41,23 @@
   if (request.path != "/_control") {
     return ErrorResponse(404, "unknown path");
   }
-  ControlReader control(request.body);
+  ApplyControl(request.body);
+  return JsonResponse(200, Json{{"ok", true}});
+}
+
+void PlainService::ApplyControl(const std::string& body) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ControlReader control(body);
   PlainServiceFaults changed = faults_;
   changed.Apply(&control);
   bool crash = false;
   control.Read("crash", &crash);
   control.Finish();
   faults_ = changed;
+  server().SetExtraHeaders(faults_.headers);
   if (crash) {
     CrashNow();
   }
-  return JsonResponse(200, Json{{"ok", true}});
 }
 
 void PlainService::HandleRequest(ExchangeId exchange, HttpRequest request) {
@@ -69,6 +77,9 @@
   if (faults_.refuse) {
     HttpResponse response = ErrorResponse(503, "refused");
     response.headers.push_back({"X-Not-Run", "true"});
+    if (!faults_.retry_after.empty()) {
+      response.headers.push_back({"Retry-After", faults_.retry_after});
+    }
     server().Respond(exchange, std::move(response));
     return;
   }
--- a/emulator/service/plain_service.h
+++ b/emulator/service/plain_service.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "emulator/http/http.h"
 #include "emulator/service/execution_log.h"
@@ -29,6 +30,10 @@
   bool hang_after = false;
   // Requests are answered with status 503 and X-Not-Run: true.
   bool refuse = false;
+  // Retry-After of these refusals; none if empty.
+  std::string retry_after;
+  // Added to every response, such as the announcement of a planned stop.
+  std::vector<HttpField> headers;
 
   // Applies keys named like the members, except that delay is delay_ms. Throws
   // ControlError.
@@ -46,6 +51,8 @@
                std::chrono::milliseconds restart_duration);
   ~PlainService() override;
 
+  void ApplyControl(const std::string& body) override;
+
  protected:
   HttpResponse HandleControl(const HttpRequest& request) override;
   void HandleRequest(ExchangeId exchange, HttpRequest request) override;
--- a/tests/unit/emulator/engine_service_test.cc
+++ b/tests/unit/emulator/engine_service_test.cc
@@ -144,5 +144,26 @@
   CHECK(reply.find("[DONE]") != std::string::npos);
 }
 
+// Guards against an engine that cannot play a planned stop or an overload.
+TEST_CASE("an engine announces its leaving and asks to be spared",
+          "[emulator][engine]") {
+  EngineService service(TestPorts(), TestSettings());
+  service.ApplyControl(R"({"headers":{"Leaving":"1"}})");
+  service.Start();
+  TestSocket stream(TestSocket::Connect(service.address()));
+  stream.Send(ChatPost("hello", 2));
+  CHECK(stream.ReceiveUntil("[DONE]", kReceiveTimeout).find("Leaving: 1\r\n") !=
+        std::string::npos);
+  TestSocket control(TestSocket::Connect(*service.control_address()));
+  control.Send(HttpPost("/_control", R"({"refuse":true,"retry_after":"1.5"})"));
+  control.ReceiveUntil("true", kReceiveTimeout);
+  TestSocket refused(TestSocket::Connect(service.address()));
+  refused.Send(ChatPost("hello", 2));
+  const std::string reply = refused.ReceiveUntil("refused", kReceiveTimeout);
+  CHECK(reply.find(" 503 ") != std::string::npos);
+  CHECK(reply.find("Retry-After: 1.5\r\n") != std::string::npos);
+  CHECK(reply.find("Leaving: 1\r\n") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace filbertshift::emulator
