Play leaving and paused endpoints in the soak

The soak's endpoints announce their leaving in all answers, with a draining record and without, start again under their id, and refuse with Retry-After, one of them or all. The record checks that nothing reaches an endpoint from an instance later than the bound after that instance passed on its announcement, that at most two requests reach it in a pause, and that an endpoint gets requests again after a new start. Instances that are killed or frozen are excused, and endpoints behind a faulty proxy; troubles of the store excuse nothing. The choices have a generator of their own, so that the other faults of a seed stay as they were.

--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -57,6 +57,7 @@
   SoakRequest request;
   request.kind = kind.kind;
   request.target = SoakTarget(kind.prefix, id_);
+  request.instance = addresses_[random_() % addresses_.size()];
   request.started_at = transport_->Now();
   request.counts_for_served_ratio = counts_for_served_ratio_;
   request.key_revoked = key_revoked_;
@@ -66,12 +67,12 @@
       "Filbertshift-Attempt-Id: {}\r\nFilbertshift-Deadline-Ms: {}\r\n"
       "Content-Length: {}\r\n\r\n{}",
       request.target, api_key_, id_, kDeadline.count(), body.size(), body);
+  std::string instance = request.instance;
   record_->OnSent(id_, std::move(request));
   status_ = 0;
   sealed_ = false;
   body_.clear();
-  call_ = client_.Start(addresses_[random_() % addresses_.size()], message,
-                        kMaxIdle, this);
+  call_ = client_.Start(instance, message, kMaxIdle, this);
   give_up_timer_ =
       transport_->After(kDeadline + kDeadlineMargin, [this] { GiveUp(); });
 }
@@ -85,6 +86,9 @@
 HeadDecision SoakCaller::OnHead(CallId /*call*/, const HttpResponseHead& head) {
   status_ = head.status;
   sealed_ = head.headers.Find("Filbertshift-Response-Seal") != nullptr;
+  if (head.headers.Find("Server-Leaving") != nullptr) {
+    record_->OnLeavingPassedOn(id_, transport_->Now());
+  }
   const std::string* id = head.headers.Find("Filbertshift-Attempt-Id");
   if (id != nullptr && *id != id_) {
     record_->ReportViolation("an answer belongs to its request",
--- a/tests/soak/soak_record.cc
+++ b/tests/soak/soak_record.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace filbertshift {
@@ -104,6 +106,86 @@
   }
 }
 
+bool SoakRecord::IsExcused(const std::string& instance,
+                           const std::string& endpoint,
+                           TimePoint now) const {
+  for (const std::string& name : {instance, endpoint}) {
+    auto found = excused_until_.find(name);
+    if (found != excused_until_.end() && now < found->second) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void SoakRecord::ExcuseNotices(const std::string& instance_or_endpoint,
+                               TimePoint until) {
+  TimePoint& excused_until = excused_until_[instance_or_endpoint];
+  excused_until = std::max(excused_until, until);
+  auto concerns = [&](const Pair& pair) {
+    return pair.first == instance_or_endpoint ||
+           pair.second.endpoint == instance_or_endpoint;
+  };
+  for (auto entry = leaving_passed_on_.begin();
+       entry != leaving_passed_on_.end();) {
+    entry = concerns(entry->first) ? leaving_passed_on_.erase(entry)
+                                   : std::next(entry);
+  }
+  for (auto entry = pauses_.begin(); entry != pauses_.end();) {
+    entry = concerns(entry->first) ? pauses_.erase(entry) : std::next(entry);
+  }
+}
+
+void SoakRecord::OnArrival(const std::string& id,
+                           const SoakIncarnation& endpoint,
+                           TimePoint now) {
+  auto request = requests_.find(id);
+  if (request == requests_.end()) {
+    return;
+  }
+  Pair pair(request->second.instance, endpoint);
+  auto leaving = leaving_passed_on_.find(pair);
+  if (leaving != leaving_passed_on_.end() &&
+      request->second.started_at > leaving->second + kSoakDrainTime) {
+    ReportViolation("nothing reaches an endpoint that said it leaves",
+                    fmt::format("{} at {}", id, endpoint.endpoint));
+  }
+  for (Pause& pause : pauses_[pair]) {
+    if (now >= pause.from && now < pause.until &&
+        ++pause.arrivals > kSoakMaxInPause) {
+      ReportViolation("an endpoint is left alone for its Retry-After",
+                      fmt::format("{} at {}", id, endpoint.endpoint));
+    }
+  }
+}
+
+void SoakRecord::OnPauseAsked(const std::string& id,
+                              const SoakIncarnation& endpoint,
+                              std::chrono::milliseconds pause,
+                              TimePoint now) {
+  auto request = requests_.find(id);
+  if (request != requests_.end() &&
+      !IsExcused(request->second.instance, endpoint.endpoint, now)) {
+    pauses_[{request->second.instance, endpoint}].push_back(
+        {now + kSoakPauseSlack, now + pause, 0});
+  }
+}
+
+void SoakRecord::OnLeavingAnswered(const std::string& id,
+                                   const SoakIncarnation& endpoint) {
+  auto request = requests_.find(id);
+  if (request != requests_.end()) {
+    request->second.leaving = endpoint;
+  }
+}
+
+void SoakRecord::OnLeavingPassedOn(const std::string& id, TimePoint now) {
+  const SoakRequest& request = requests_.at(id);
+  if (!IsExcused(request.instance, request.leaving.endpoint, now)) {
+    leaving_passed_on_.emplace(Pair(request.instance, request.leaving), now);
+  }
+}
+
 void SoakRecord::SetFaultFree(bool fault_free, TimePoint now) {
   if (fault_free && !fault_free_) {
     fault_free_since_ = now;
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -4,10 +4,13 @@
 #ifndef TESTS_SOAK_SOAK_RECORD_H_
 #define TESTS_SOAK_SOAK_RECORD_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "src/common/common.h"
@@ -16,12 +19,29 @@
 
 enum class SoakKind { kNonIdempotent, kIdempotent, kStream };
 
+// Time after which an instance that has passed on a notice of leaving sends
+// nothing more to the endpoint.
+constexpr std::chrono::milliseconds kSoakDrainTime{1500};
+// A pause counts this long after the refusal that asked for it; until its end,
+// so many requests of an instance may still reach the endpoint.
+constexpr std::chrono::milliseconds kSoakPauseSlack{500};
+constexpr int kSoakMaxInPause = 2;
 // Number of events in a complete stream.
 constexpr int kSoakEventCount = 6;
 
+struct SoakIncarnation {
+  std::string endpoint;
+  int start = 0;
+  friend bool operator<(const SoakIncarnation& a, const SoakIncarnation& b) {
+    return std::tie(a.endpoint, a.start) < std::tie(b.endpoint, b.start);
+  }
+};
+
 struct SoakRequest {
   SoakKind kind = SoakKind::kNonIdempotent;
   std::string target;
+  // Address of the instance that it was sent to.
+  std::string instance;
   TimePoint started_at{};
   // Included in the share of requests that must be served without faults.
   bool counts_for_served_ratio = true;
@@ -30,6 +50,8 @@
   bool key_revoked = false;
   // Start time of each execution at an endpoint.
   std::vector<TimePoint> execution_times;
+  // The latest one that said in its answer that it leaves.
+  SoakIncarnation leaving;
   // 0: no response, or an incomplete one.
   int status = 0;
   bool sealed = false;
@@ -51,6 +73,22 @@
                   bool sealed,
                   const std::string& body);
   void OnNoResponse(const std::string& id);
+  // The request has reached the endpoint.
+  void OnArrival(const std::string& id,
+                 const SoakIncarnation& endpoint,
+                 TimePoint now);
+  // The endpoint has refused the request and asked for no others.
+  void OnPauseAsked(const std::string& id,
+                    const SoakIncarnation& endpoint,
+                    std::chrono::milliseconds pause,
+                    TimePoint now);
+  // The endpoint says in its answer that it leaves, and the caller got that.
+  void OnLeavingAnswered(const std::string& id,
+                         const SoakIncarnation& endpoint);
+  void OnLeavingPassedOn(const std::string& id, TimePoint now);
+  // An instance or endpoint is restarted or disturbed: no notice counts that it
+  // gave or got before `until`.
+  void ExcuseNotices(const std::string& instance_or_endpoint, TimePoint until);
   // `fault_free` is true if no fault is active and the recovery time after the
   // last one has passed.
   void SetFaultFree(bool fault_free, TimePoint now);
@@ -70,6 +108,20 @@
   void CheckResponse(const std::string& id, const SoakRequest& request);
   void CheckStream(const std::string& id, const SoakRequest& request);
   void CountIfFaultFree(const SoakRequest& request, bool served);
+  bool IsExcused(const std::string& instance,
+                 const std::string& endpoint,
+                 TimePoint now) const;
+
+  struct Pause {
+    TimePoint from{};
+    TimePoint until{};
+    int arrivals = 0;
+  };
+  // Instance and endpoint.
+  using Pair = std::pair<std::string, SoakIncarnation>;
+  std::map<Pair, TimePoint> leaving_passed_on_;
+  std::map<Pair, std::vector<Pause>> pauses_;
+  std::map<std::string, TimePoint> excused_until_;
 
   std::map<std::string, SoakRequest> requests_;
   bool fault_free_ = false;
--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -46,6 +46,7 @@
 SoakSite::SoakSite(const SoakOptions& options)
     : options_(options),
       random_(options.seed),
+      notice_random_(options.seed + 1000000),
       loop_(kSilenceTimeout),
       store_(&loop_),
       store_address_(LoopbackAddress()),
@@ -106,12 +107,14 @@
   endpoints_.push_back(std::move(endpoint));
 }
 
-void SoakSite::PutEndpoint(const Endpoint& endpoint) {
+void SoakSite::PutEndpoint(const Endpoint& endpoint, std::string_view state) {
+  ++row_count_;
   store_.Put("servers", endpoint.worker->id(),
              fmt::format(R"({{"service":"s","address":"{}","zone":"a",)"
-                         R"("version":"v1","slots":32,"state":"ready",)"
-                         R"("cold_remaining_ms":0,"sequence":1}})",
-                         endpoint.address));
+                         R"("version":"v1","slots":{},"state":"{}",)"
+                         R"("cold_remaining_ms":0,"sequence":{},"born":{}}})",
+                         endpoint.address, 32 + row_count_ % 2, state,
+                         row_count_, endpoint.worker->start()));
 }
 
 void SoakSite::AddInstance() {
@@ -136,6 +139,7 @@
 }
 
 void SoakSite::StartProcess(Instance* instance) {
+  ExcuseNotices(instance->caller_address, milliseconds(0));
   instance->process = std::make_unique<ChildProcess>(
       fmt::format("{}-{}", instance->name, ++instance->starts), options_.folder,
       std::vector<std::string>{options_.program, "--settings",
@@ -171,6 +175,7 @@
 
 void SoakSite::BeginProcessFault(Instance* instance) {
   milliseconds time = RandomDuration(300, 3000);
+  ExcuseNotices(instance->caller_address, time);
   // Another fault may restart the instance before this one ends.
   int start_number = instance->starts;
   ExtendDisruption(time);
@@ -265,6 +270,7 @@
       Log(fmt::format("endpoint {}: fault {} for {} ms", endpoint.worker->id(),
                       static_cast<int>(fault), time.count()));
       ExtendDisruption(time);
+      ExcuseNotices(endpoint.worker->id(), time);
       FaultProxy* proxy = endpoint.proxy.get();
       proxy->SetFault(fault);
       loop_.After(time, [proxy] { proxy->SetFault(ProxyFault::kNone); });
@@ -293,6 +299,63 @@
   PutEndpoint(endpoint);
 }
 
+void SoakSite::ExcuseNotices(const std::string& instance_or_endpoint,
+                             milliseconds time) {
+  record_.ExcuseNotices(instance_or_endpoint,
+                        loop_.Now() + time + kReconnectTime);
+}
+
+void SoakSite::LeaveEndpoint() {
+  Endpoint& endpoint = endpoints_[notice_random_() % endpoints_.size()];
+  bool has_row = notice_random_() % 2 == 0;
+  Log(fmt::format("endpoint {} leaves, {} draining row", endpoint.worker->id(),
+                  has_row ? "with a" : "without a"));
+  endpoint.worker->Leave();
+  RunFor(milliseconds(notice_random_() % 1000));
+  PutEndpoint(endpoint, has_row ? "draining" : "ready");
+  RunFor(kSoakDrainTime + milliseconds(notice_random_() % 1500));
+  endpoint.worker->StartAgain();
+  PutEndpoint(endpoint);
+  int arrivals = endpoint.worker->arrivals();
+  bool calm = loop_.Now() >= disrupted_until_;
+  RunFor(kApplyTime + milliseconds(1000));
+  if (calm && endpoint.worker->arrivals() == arrivals) {
+    record_.ReportViolation("an endpoint that started again gets requests",
+                            endpoint.worker->id());
+  }
+}
+
+void SoakSite::PauseEndpoints() {
+  bool all = notice_random_() % 4 == 0;
+  milliseconds pause(600 + notice_random_() % 2000);
+  milliseconds time(200 + notice_random_() % 1500);
+  std::size_t one = notice_random_() % endpoints_.size();
+  Log(fmt::format("{} refuses with Retry-After {} ms for {} ms",
+                  all ? "each endpoint" : endpoints_[one].worker->id(),
+                  pause.count(), time.count()));
+  if (all) {
+    ExtendDisruption(time + pause);
+  }
+  for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+    if (all || i == one) {
+      endpoints_[i].worker->SetPause(pause);
+    }
+  }
+  RunFor(time);
+  for (Endpoint& endpoint : endpoints_) {
+    endpoint.worker->SetPause(std::nullopt);
+  }
+  RunFor(pause);
+}
+
+void SoakSite::PlayNotice() {
+  if (notice_random_() % 2 == 0) {
+    LeaveEndpoint();
+  } else {
+    PauseEndpoints();
+  }
+}
+
 void SoakSite::WaitUntilReady() {
   RunFor(kReadyTime);
 }
@@ -316,6 +379,7 @@
       BeginFault();
       RunFor(RandomDuration(0, 1500));
     }
+    PlayNotice();
     while (loop_.Now() < disrupted_until_) {
       RunFor(kCheckInterval);
     }
@@ -324,11 +388,13 @@
     } else {
       RemoveEndpoint();
     }
+    PlayNotice();
   }
   Log("all instances killed simultaneously");
   ExtendDisruption(kRecoveryTime - kReconnectTime);
   for (const std::unique_ptr<Instance>& instance : instances_) {
     instance->process->Kill();
+    ExcuseNotices(instance->caller_address, kRecoveryTime);
   }
   RunFor(RandomDuration(300, 1500));
   for (const std::unique_ptr<Instance>& instance : instances_) {
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "src/net/net.h"
@@ -56,7 +57,7 @@
 
   void AddInstance();
   void AddEndpoint();
-  void PutEndpoint(const Endpoint& endpoint);
+  void PutEndpoint(const Endpoint& endpoint, std::string_view state = "ready");
   void PutConfiguration(bool with_second_key);
   void StartProcess(Instance* instance);
   void WaitUntilReady();
@@ -75,12 +76,22 @@
   // Planned changes, which must not make any request fail.
   void RevokeKey();
   void RemoveEndpoint();
+  // An endpoint says in its answers that it leaves, and starts again.
+  void LeaveEndpoint();
+  // One endpoint, or all of them, ask for no requests for a while.
+  void PauseEndpoints();
+  void PlayNotice();
+  // No notice counts that the instance gets until a time after a fault.
+  void ExcuseNotices(const std::string& instance_or_endpoint,
+                     std::chrono::milliseconds time);
   void StopAll();
   void CheckLogs();
   void Log(const std::string& text);
 
   const SoakOptions options_;
   std::mt19937 random_;
+  // Its own, so that the other faults of a seed stay as they are.
+  std::mt19937 notice_random_;
   TcpLoop loop_;
   SoakRecord record_;
   StandInStore store_;
@@ -92,6 +103,7 @@
   std::unique_ptr<SoakCaller> second_caller_;
   TimePoint started_at_{};
   TimePoint disrupted_until_{};
+  int row_count_ = 0;
   int configuration_version_ = 0;
 };
 
--- a/tests/soak/soak_worker.cc
+++ b/tests/soak/soak_worker.cc
@@ -67,6 +67,28 @@
   HttpResponseHead head{status, "X", {}};
   head.headers.Add("Filbertshift-Attempt-Id", request);
   head.headers.Add("Filbertshift-Response-Seal", "seal-" + id_);
+  AddLeaving(request, &head);
+  return head;
+}
+
+void SoakWorker::AddLeaving(const std::string& request,
+                            HttpResponseHead* head) const {
+  if (leaving_) {
+    record_->OnLeavingAnswered(request, Incarnation());
+    head->headers.Add("Server-Leaving", "1");
+  }
+}
+
+HttpResponseHead SoakWorker::Refusal(const std::string& request) const {
+  HttpResponseHead head{503, "X", {}};
+  head.headers.Add("Filbertshift-Attempt-Id", request);
+  head.headers.Add("Filbertshift-Not-Executed", "1");
+  AddLeaving(request, &head);
+  if (pause_.has_value()) {
+    head.headers.Add(
+        "Retry-After",
+        fmt::format("{}", std::chrono::duration<double>(*pause_).count()));
+  }
   return head;
 }
 
@@ -78,11 +100,15 @@
     server_.Respond(caller, {421, "X", {}}, "");
     return;
   }
+  ++arrivals_;
+  record_->OnArrival(request, Incarnation(), transport_->Now());
+  if (pause_.has_value()) {
+    record_->OnPauseAsked(request, Incarnation(), *pause_, transport_->Now());
+    server_.Respond(caller, Refusal(request), "");
+    return;
+  }
   if (RandomBool(kRefusalProbability)) {
-    HttpResponseHead refusal{503, "X", {}};
-    refusal.headers.Add("Filbertshift-Attempt-Id", request);
-    refusal.headers.Add("Filbertshift-Not-Executed", "1");
-    server_.Respond(caller, refusal, "");
+    server_.Respond(caller, Refusal(request), "");
     return;
   }
   bool unchanged = head.target == SoakTarget(PrefixOf(head.target), request) &&
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -3,7 +3,9 @@
 #ifndef TESTS_SOAK_SOAK_WORKER_H_
 #define TESTS_SOAK_SOAK_WORKER_H_
 
+#include <chrono>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -30,6 +32,19 @@
   // While set, each execution is a violation, because the endpoint's record has
   // been removed from the store.
   void SetRemoved(bool removed) { removed_ = removed; }
+  // From now on, each answer says that the endpoint leaves.
+  void Leave() { leaving_ = true; }
+  // A new incarnation, which does not leave.
+  void StartAgain() {
+    leaving_ = false;
+    ++start_;
+  }
+  int start() const { return start_; }
+  // While set, each request is refused with this time to wait.
+  void SetPause(std::optional<std::chrono::milliseconds> pause) {
+    pause_ = pause;
+  }
+  int arrivals() const { return arrivals_; }
 
   void OnRequest(ConnectionId caller,
                  HttpRequestHead head,
@@ -44,6 +59,9 @@
                     std::function<void()> action);
   void SendEvent(ConnectionId caller, const std::string& request, int number);
   HttpResponseHead ResponseHead(int status, const std::string& request) const;
+  HttpResponseHead Refusal(const std::string& request) const;
+  void AddLeaving(const std::string& request, HttpResponseHead* head) const;
+  SoakIncarnation Incarnation() const { return {id_, start_}; }
 
   Transport* const transport_;
   const std::string id_;
@@ -53,6 +71,10 @@
   // Timer of the next step of each request in progress.
   std::map<ConnectionId, TimerId> step_timers_;
   bool removed_ = false;
+  bool leaving_ = false;
+  int start_ = 1;
+  std::optional<std::chrono::milliseconds> pause_;
+  int arrivals_ = 0;
 };
 
 }  // namespace filbertshift
--- a/tests/unit/soak/soak_record_test.cc
+++ b/tests/unit/soak/soak_record_test.cc
@@ -83,9 +83,51 @@
     record.OnSent("k", request);
     record.OnResponse("k", 200, true, SoakResponseBody("k"));
   }
+  SECTION("a request to an endpoint that said it leaves") {
+    record.OnLeavingAnswered("a", {"e1", 1});
+    record.OnLeavingPassedOn("a", kNow);
+    SoakRequest request = Request(SoakKind::kIdempotent);
+    request.started_at += kSoakDrainTime + std::chrono::milliseconds(1);
+    record.OnSent("l", request);
+    record.OnArrival("l", {"e1", 1}, request.started_at);
+  }
+  SECTION("a third request to an endpoint that asked for none") {
+    constexpr std::chrono::seconds kPause(2);
+    record.OnPauseAsked("a", {"e1", 1}, kPause, kNow);
+    for (int i = 0; i < 3; ++i) {
+      record.OnArrival("a", {"e1", 1}, kNow + kSoakPauseSlack);
+    }
+    record.OnArrival("a", {"e1", 1}, kNow + kPause);
+  }
   record.CheckRefusedRequests();
   CHECK(record.violations().size() == 1);
 }
 
+TEST_CASE("notices bind neither others nor restarted instances", "[soak]") {
+  constexpr std::chrono::seconds kPause(2);
+  SoakRecord record;
+  SoakRequest request = Request(SoakKind::kIdempotent);
+  request.instance = "i1";
+  record.OnSent("a", request);
+  request.started_at += std::chrono::seconds(1) + kSoakDrainTime;
+  record.OnSent("b", request);
+  request.instance = "i2";
+  record.OnSent("c", request);
+  record.OnLeavingAnswered("a", {"e1", 1});
+  record.OnLeavingPassedOn("a", kNow);
+  record.OnPauseAsked("a", {"e1", 1}, kPause, kNow);
+  TimePoint later = kNow + std::chrono::seconds(1);
+  for (int i = 0; i < 5; ++i) {
+    record.OnArrival("b", {"e1", 2}, later);
+    record.OnArrival("b", {"e2", 1}, later);
+    record.OnArrival("c", {"e1", 1}, later);
+  }
+  record.ExcuseNotices("i1", later);
+  for (int i = 0; i < 5; ++i) {
+    record.OnArrival("b", {"e1", 1}, later);
+  }
+  CHECK(record.violations().empty());
+}
+
 }  // namespace
 }  // namespace filbertshift
