Honour Retry-After of engines in filbertshiftd

An engine that refused with 503 and Retry-After was tried again by every request that had not been there yet, and a 503 without the promise that nothing ran counted against its version in a rollout.

The registry now gives that incarnation no attempt until the time is over, 30 s at most; a restart ends the pause, and operators see the state paused. Requests wait in the admission queue or go to other engines. Engines that leave announce that through the instance list, which is honoured already.

Open: if all engines are paused, requests wait in the queue until their deadline and are not refused at once; the bound is not a setting.

Measured: the test of the core fails with the check switched off.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -138,6 +138,7 @@
                                   CrashVerdict verdict) const;
   AttemptSpec MakeAttemptSpec(const Request& request,
                               const EndpointChoice& choice) const;
+  void PauseEndpoint(Request& request);
   void OnChatData(Request& request, const std::string& bytes);
   void OnChatChunk(Request& request, nlohmann::json chunk);
   void OnProgress(Request& request);
--- a/src/core/core_attempts.cc
+++ b/src/core/core_attempts.cc
@@ -20,6 +20,9 @@
 // Time for which one instance may start suspect requests on an endpoint. Much
 // longer than the usual skew of synchronized clocks.
 constexpr std::chrono::milliseconds kSuspectTurnDuration{1000};
+constexpr int kServiceUnavailable = 503;
+// Longest pause that an endpoint may ask for.
+constexpr std::chrono::seconds kMaxEndpointPause{30};
 
 std::chrono::microseconds ToMicroseconds(TimePoint::duration duration) {
   return std::chrono::duration_cast<std::chrono::microseconds>(duration);
@@ -222,6 +225,35 @@
       attempt.http_status == 429 || attempt.http_status == 503;
   attempt.refused =
       is_refusal_status && FindHeader(attempt.headers, "X-Not-Run") == "true";
+  if (attempt.http_status == kServiceUnavailable) {
+    PauseEndpoint(*request);
+  }
+}
+
+// Honours the Retry-After of an endpoint that is full. Its requests wait, or go
+// to other endpoints.
+void Core::PauseEndpoint(Request& request) {
+  RunningAttempt& attempt = *request.attempt;
+  std::string text = FindHeader(attempt.headers, "Retry-After");
+  if (text.empty()) {
+    return;
+  }
+  EventContext context{request.id, attempt.id, attempt.endpoint};
+  std::optional<std::chrono::milliseconds> asked = ParseRetryAfter(text);
+  if (!asked.has_value()) {
+    ports_.log.Write(EventId::kEndpointFieldRejected, context,
+                     "Retry-After: " + text);
+    return;
+  }
+  attempt.asked_for_pause = true;
+  TimePoint now = ports_.clock.Now();
+  std::chrono::milliseconds kept =
+      std::min<std::chrono::milliseconds>(*asked, kMaxEndpointPause);
+  if (registry_.Pause(attempt.endpoint, attempt.incarnation, now + kept, now)) {
+    ports_.log.Write(
+        EventId::kEndpointPaused, context,
+        fmt::format("asked_ms={} kept_ms={}", asked->count(), kept.count()));
+  }
 }
 
 void Core::OnMessage(AttemptData&& data) {
--- a/src/core/core_operators.cc
+++ b/src/core/core_operators.cc
@@ -41,6 +41,9 @@
   if (view.suspected) {
     return "suspected";
   }
+  if (view.paused) {
+    return "paused";
+  }
   return view.verified ? "live" : "unverified";
 }
 
--- a/src/core/core_recovery.cc
+++ b/src/core/core_recovery.cc
@@ -126,7 +126,9 @@
 }
 
 void Core::OnAttemptLost(Request& request, const RunningAttempt& attempt) {
-  CountRolloutAnswer(request, true);
+  if (!attempt.asked_for_pause) {
+    CountRolloutAnswer(request, true);
+  }
   request.excluded_endpoints.insert(attempt.endpoint);
   Retry(request);
 }
--- a/src/core/request.h
+++ b/src/core/request.h
@@ -53,6 +53,9 @@
   std::string body;
   // The endpoint refused the request without running it.
   bool refused = false;
+  // The endpoint asked for no attempts for a while, which is no failure of its
+  // version.
+  bool asked_for_pause = false;
   // The response carries the id of a different attempt, or its event stream is
   // malformed.
   bool invalid = false;
--- a/src/routing/endpoint_choice.cc
+++ b/src/routing/endpoint_choice.cc
@@ -53,6 +53,7 @@
 
 bool EndpointRegistry::CanStart(const Endpoint& endpoint, TimePoint now) const {
   return AcceptsAttempts(endpoint) && !endpoint.health.suspected() &&
+         now >= endpoint.paused_until &&
          endpoint.load.in_flight() < ShareOf(endpoint, now);
 }
 
--- a/src/routing/endpoint_registry.cc
+++ b/src/routing/endpoint_registry.cc
@@ -239,6 +239,7 @@
   const EndpointHealth::Change change = endpoint->health.OnProbe(probe, now);
   if (change.restarted) {
     endpoint->load.Reset();
+    endpoint->paused_until = TimePoint();
     log_.Write(EventId::kEndpointRestarted, context,
                fmt::format("uptime {} ms", probe.uptime.count()));
   }
@@ -269,6 +270,19 @@
   }
 }
 
+bool EndpointRegistry::Pause(const EndpointId& endpoint,
+                             Incarnation incarnation,
+                             TimePoint until,
+                             TimePoint now) {
+  Endpoint* found = Find(endpoint);
+  if (found == nullptr || found->health.incarnation() != incarnation) {
+    return false;
+  }
+  const bool begins = found->paused_until <= now;
+  found->paused_until = std::max(found->paused_until, until);
+  return begins;
+}
+
 void EndpointRegistry::Reserve(const EndpointId& endpoint,
                                const AttemptId& attempt,
                                Fingerprint fingerprint,
@@ -365,6 +379,7 @@
     view.verified = endpoint.health.IsVerified(now, options_.max_probe_age);
     view.suspected = endpoint.health.suspected();
     view.draining = IsDraining(endpoint);
+    view.paused = now < endpoint.paused_until;
     view.share = ShareOf(endpoint, now);
     view.in_flight = endpoint.load.in_flight();
     view.running = endpoint.load.running();
--- a/src/routing/endpoint_registry.h
+++ b/src/routing/endpoint_registry.h
@@ -76,6 +76,8 @@
   bool verified = false;
   bool suspected = false;
   bool draining = false;
+  // Has asked for no attempts for a while.
+  bool paused = false;
   int share = 0;
   int in_flight = 0;
   // As last reported by the endpoint.
@@ -113,6 +115,12 @@
   // The uptime counts as 0 until a probe that is sent after this call succeeds.
   void OnConnectionLost(const EndpointId& endpoint);
   void Suspect(const EndpointId& endpoint, const std::string& reason);
+  // The endpoint has asked for no attempts until then; a new incarnation has
+  // not. Returns whether this begins a pause.
+  bool Pause(const EndpointId& endpoint,
+             Incarnation incarnation,
+             TimePoint until,
+             TimePoint now);
 
   // Selects an endpoint for an attempt without reserving it; std::nullopt if no
   // endpoint has free capacity in its share.
@@ -169,6 +177,7 @@
     EndpointShare share;
     EndpointHealth health;
     EndpointLoad load;
+    TimePoint paused_until{};
   };
   struct PastPlan {
     SharePlan plan;
--- a/tests/unit/core/core_test.cc
+++ b/tests/unit/core/core_test.cc
@@ -218,6 +218,35 @@
   CHECK(fixture.LastAttempt().endpoint != first.endpoint);
 }
 
+// Guards against attempts at an engine that has asked for none for a while.
+TEST_CASE("an engine gets nothing until its Retry-After is over", "[core]") {
+  CoreFixture fixture;
+  fixture.Chat("draft", true);
+  AttemptSpec refused = fixture.LastAttempt();
+  fixture.Sent(refused);
+  fixture.Head(refused, 503, {{"X-Not-Run", "true"}, {"Retry-After", "4.5"}});
+  fixture.End(refused, AttemptOutcome::kComplete);
+  CHECK(fixture.LastAttempt().endpoint != refused.endpoint);
+  std::size_t before = fixture.endpoints.started.size();
+  auto reached = [&] {
+    for (int i = 0; i < 10; ++i) {
+      fixture.Chat("draft " + std::to_string(i), true);
+    }
+    bool found = false;
+    for (; before < fixture.endpoints.started.size(); ++before) {
+      AttemptSpec attempt = fixture.endpoints.started[before];
+      found = found || attempt.endpoint == refused.endpoint;
+      fixture.Stream(attempt, {"text"});
+      fixture.EndStream(attempt);
+    }
+    return found;
+  };
+  fixture.Advance(std::chrono::seconds(4));
+  CHECK_FALSE(reached());
+  fixture.Advance(std::chrono::seconds(2));
+  CHECK(reached());
+}
+
 // Guards against spending engine time on a caller that has disconnected.
 TEST_CASE("a caller that hangs up cancels its attempt", "[core]") {
   CoreFixture fixture;
