--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -35,6 +35,7 @@
       return CallerCloseReason::kCallerSilent;
     case ConnectionEnd::kReset:
     case ConnectionEnd::kConnectFailed:
+    case ConnectionEnd::kRefused:
       return CallerCloseReason::kCallerReset;
   }
   return CallerCloseReason::kCallerReset;
