Find slow versions by the ranks of their times

Cause: a version counted as slow by the geometric mean of its times, at three times that of the stable version. With half of the answers three times slower the mean is 1.7. A lower factor is no way out, as a few delayed answers move the mean. Ruled out: too little evidence; in traces the gaps of slow versions exceed those of the stable one with a probability of 0.75 to 0.83, those of sound versions with 0.12 to 0.33.

Member rows now carry log-scaled histograms of first bytes and gaps, and a rank test compares the versions by route and over all routes. A probably slow version gets neither the full share nor is it completed. Cold endpoints are not counted, and a single slow group of endpoints does not make a version slow. Gaps of streams with two or three events count as well. Rows of other releases are read.

--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -106,6 +106,11 @@
   return found == entries_.end() ? 0 : found->second.in_flight;
 }
 
+bool EndpointPool::IsCold(const EndpointId& endpoint, TimePoint now) const {
+  auto found = entries_.find(endpoint);
+  return found != entries_.end() && IsCold(found->second, now);
+}
+
 bool EndpointPool::IsSilent(const EndpointId& endpoint,
                             milliseconds allowed,
                             TimePoint now) const {
--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -98,6 +98,8 @@
 
   const RoutedEndpoint* Find(const EndpointId& endpoint) const;
   int InFlight(const EndpointId& endpoint) const;
+  // Whether the endpoint is cold and its requests are limited.
+  bool IsCold(const EndpointId& endpoint, TimePoint now) const;
   // The endpoint has sent no bytes on any connection for so long that its
   // requests are presumed lost, or its whole data centre has stalled.
   // `allowed` is the longest pause within a response that is in time.
--- a/src/fleet/member_state.cc
+++ b/src/fleet/member_state.cc
@@ -1,6 +1,7 @@
 #include "src/fleet/member_state.h"
 
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 
 namespace filbertshift {
@@ -13,13 +14,48 @@
 // sufficient for comparing versions.
 constexpr double kLogScale = 1000.0;
 
+// Number of fields that every release writes. Later ones are read where they
+// are present, and ignored by earlier releases.
+constexpr std::size_t kCommonCountFields = 10;
+
+// The histograms of the groups, separated by semicolons.
+constexpr char kGroupSeparator = ';';
+
+std::string EncodeTimes(const GroupedTimes& times) {
+  std::string text;
+  std::size_t missing_separators = 0;
+  for (const TimeHistogram& histogram : times) {
+    if (histogram.total() > 0) {
+      text.append(missing_separators, kGroupSeparator);
+      text += EncodeTimeHistogram(histogram);
+      missing_separators = 0;
+    }
+    ++missing_separators;
+  }
+  return text;
+}
+
+GroupedTimes DecodeTimes(std::string_view text) {
+  GroupedTimes times;
+  for (TimeHistogram& histogram : times) {
+    std::size_t separator = text.find(kGroupSeparator);
+    histogram = DecodeTimeHistogram(text.substr(0, separator));
+    if (separator == std::string_view::npos) {
+      break;
+    }
+    text.remove_prefix(separator + 1);
+  }
+  return times;
+}
+
 json EncodeCounts(const EvidenceKey& key, const AnswerCounts& counts) {
   return json::array(
       {key.service.value(), key.version.value(), key.route, counts.answers,
        counts.failures, counts.first_bytes,
        static_cast<std::int64_t>(counts.first_byte_log_sum * kLogScale),
        counts.gaps, static_cast<std::int64_t>(counts.gap_log_sum * kLogScale),
-       counts.sends});
+       counts.sends, EncodeTimes(counts.first_byte_times),
+       EncodeTimes(counts.gap_times)});
 }
 
 void DecodeCounts(const json& entry, RolloutEvidence* evidence) {
@@ -34,6 +70,10 @@
   counts.gaps = entry.at(7).get<std::int64_t>();
   counts.gap_log_sum = entry.at(8).get<double>() / kLogScale;
   counts.sends = entry.at(9).get<std::int64_t>();
+  if (entry.size() >= kCommonCountFields + 2) {
+    counts.first_byte_times = DecodeTimes(entry.at(10).get<std::string>());
+    counts.gap_times = DecodeTimes(entry.at(11).get<std::string>());
+  }
 }
 
 }  // namespace
--- a/src/fleet/rollout_driver.cc
+++ b/src/fleet/rollout_driver.cc
@@ -139,11 +139,17 @@
     if (!due || inputs.candidate_endpoints == 0) {
       return std::nullopt;
     }
+    if (inputs.verdict == CandidateVerdict::kSuspect) {
+      return NextStep(inputs, 0, RolloutPhase::kReverted);
+    }
     return NextStep(inputs, kFullPermille, RolloutPhase::kInProgress);
   }
   bool settled = inputs.store_now - progress.changed_at >=
                  deadline / kFullShareDeadlineDivisor;
   if (near_deadline || (settled && inputs.stable_in_flight == 0)) {
+    if (inputs.verdict == CandidateVerdict::kSuspect) {
+      return NextStep(inputs, 0, RolloutPhase::kReverted);
+    }
     return NextStep(inputs, kFullPermille, RolloutPhase::kCompleted);
   }
   return std::nullopt;
--- a/src/fleet/rollout_evidence.h
+++ b/src/fleet/rollout_evidence.h
@@ -3,6 +3,7 @@
 #ifndef SRC_FLEET_ROLLOUT_EVIDENCE_H_
 #define SRC_FLEET_ROLLOUT_EVIDENCE_H_
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -10,9 +11,19 @@
 #include <tuple>
 
 #include "src/common/common.h"
+#include "src/fleet/time_histogram.h"
 
 namespace filbertshift {
 
+// Responses of a candidate are counted by groups of its endpoints, so that one
+// slow endpoint can be told from a slow version. Those of stable versions are
+// all in group 0.
+constexpr int kEndpointGroups = 8;
+using GroupedTimes = std::array<TimeHistogram, kEndpointGroups>;
+
+// All instances get the same result.
+int EndpointGroup(const EndpointId& endpoint);
+
 // Totals over the responses of one version on one route. Durations are summed
 // as logarithms of milliseconds, so that outliers do not dominate.
 struct AnswerCounts {
@@ -25,6 +36,9 @@
   double first_byte_log_sum = 0;
   std::int64_t gaps = 0;
   double gap_log_sum = 0;
+  // The same times in full. Rows of instances of an earlier release lack them.
+  GroupedTimes first_byte_times;
+  GroupedTimes gap_times;
 
   void Add(const AnswerCounts& other);
 };
@@ -43,11 +57,18 @@
  public:
   void OnSend(const EvidenceKey& key);
   void OnAnswer(const EvidenceKey& key, bool failed);
-  void OnFirstByte(const EvidenceKey& key, std::chrono::microseconds time);
-  // Adds the mean time between the events of one complete response.
-  void OnMeanGap(const EvidenceKey& key, std::chrono::microseconds gap);
+  // `group`: that of the endpoint; negative for a cold endpoint, whose times
+  // say little about its version.
+  void OnFirstByte(const EvidenceKey& key,
+                   std::chrono::microseconds time,
+                   int group = 0);
+  // Adds the mean time between the events at the start of one response.
+  void OnMeanGap(const EvidenceKey& key,
+                 std::chrono::microseconds gap,
+                 int group = 0);
   void Add(const RolloutEvidence& other);
   void RemoveService(const ServiceId& service);
+  RolloutEvidence OfService(const ServiceId& service) const;
 
   // Requests sent to the version, or to all versions of the service.
   std::int64_t SendsTo(const ServiceId& service,
@@ -61,7 +82,14 @@
   std::map<EvidenceKey, AnswerCounts> counts_;
 };
 
-enum class CandidateVerdict { kUndecided, kGood, kBad };
+enum class CandidateVerdict {
+  kUndecided,
+  kGood,
+  // Probably slower than the stable version. More responses may decide it; if
+  // there is no time for them, the candidate must not replace the stable one.
+  kSuspect,
+  kBad,
+};
 
 // Compares the candidate with all other versions of the service.
 CandidateVerdict EvaluateCandidate(const RolloutEvidence& evidence,
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -143,8 +143,11 @@
               RunState run);
   void Finish(Exchange* exchange, int status, std::string_view outcome);
   void RecordOutcome(const Exchange& exchange, bool failed);
-  void RecordGap(const Exchange& exchange, TimePoint now);
+  // Records the mean gap of the events so far.
+  void RecordGap(const Exchange& exchange, TimePoint latest_block_at);
   EvidenceKey EvidenceKeyOf(const Exchange& exchange) const;
+  // Group in which the times of the current attempt are counted.
+  int EvidenceGroupOf(const Exchange& exchange) const;
 
   Transport* const transport_;
   const RequestCodec& codec_;
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -53,17 +53,30 @@
   return {exchange.service, exchange.attempt->version, exchange.route->name};
 }
 
+int Forwarder::EvidenceGroupOf(const Exchange& exchange) const {
+  const EndpointAttempt& attempt = *exchange.attempt;
+  if (pool_.IsCold(attempt.endpoint, transport_->Now())) {
+    return -1;
+  }
+  auto order = view_.orders().find(exchange.service);
+  bool candidate =
+      order != view_.orders().end() && order->second.to == attempt.version;
+  return candidate ? EndpointGroup(attempt.endpoint) : 0;
+}
+
 void Forwarder::RecordOutcome(const Exchange& exchange, bool failed) {
   evidence_.OnAnswer(EvidenceKeyOf(exchange), failed);
 }
 
 // Measured early in a stream, because streams of a slow version end late.
-void Forwarder::RecordGap(const Exchange& exchange, TimePoint now) {
+void Forwarder::RecordGap(const Exchange& exchange, TimePoint latest_block_at) {
   const EndpointAttempt& attempt = *exchange.attempt;
-  if (attempt.event_blocks == kGapSampleBlocks) {
-    auto duration = duration_cast<microseconds>(now - attempt.first_byte_at);
+  if (attempt.event_blocks > 1 && attempt.event_blocks <= kGapSampleBlocks) {
+    auto duration =
+        duration_cast<microseconds>(latest_block_at - attempt.first_byte_at);
     evidence_.OnMeanGap(EvidenceKeyOf(exchange),
-                        duration / (kGapSampleBlocks - 1));
+                        duration / (attempt.event_blocks - 1),
+                        EvidenceGroupOf(exchange));
   }
 }
 
@@ -99,7 +112,8 @@
   }
   bool named = attempt.names_request;
   if (IsSuccess(head.status) && response_metadata.sealed && named) {
-    evidence_.OnFirstByte(EvidenceKeyOf(*exchange), waited);
+    evidence_.OnFirstByte(EvidenceKeyOf(*exchange), waited,
+                          EvidenceGroupOf(*exchange));
     EscalateOnLowConfidence(exchange);
   }
   return named ? HeadDecision::kAccept : HeadDecision::kAcceptLast;
@@ -172,7 +186,9 @@
   std::string events = attempt.events.Add(data);
   if (!events.empty()) {
     ++attempt.event_blocks;
-    RecordGap(*exchange, transport_->Now());
+    if (attempt.event_blocks == kGapSampleBlocks) {
+      RecordGap(*exchange, transport_->Now());
+    }
     if (!DeliverEvents(exchange, events)) {
       return;
     }
@@ -308,6 +324,9 @@
   }
   BeginResponse(exchange);
   RecordOutcome(*exchange, false);
+  if (attempt.event_blocks < kGapSampleBlocks) {
+    RecordGap(*exchange, attempt.progress_at);
+  }
   int status = attempt.head.status;
   ++exchange->runs;
   EndAttempt(exchange, AttemptResult::kAnswered);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -219,7 +219,9 @@
   state.beat = ++heartbeat_count_;
   state.stable_in_flight = rollouts_.StableInFlight();
   if (!state.stable_in_flight.empty()) {
-    state.evidence = forwarder_.evidence();
+    for (const auto& entry : state.stable_in_flight) {
+      state.evidence.Add(forwarder_.evidence().OfService(entry.first));
+    }
     state.kept_sessions = rollouts_.KeptSessions(now);
   }
   return EncodeMemberState(state);
