--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -123,6 +123,8 @@
   const EndpointNotices& notices() const { return notices_; }
   const RoutedEndpoint* Find(const EndpointId& endpoint) const;
   int InFlight(const EndpointId& endpoint) const;
+  // Whether the endpoint is cold and its requests are limited.
+  bool IsCold(const EndpointId& endpoint, TimePoint now) const;
   // `allowed` is the longest pause within a response that is in time.
   EndpointSilence SilenceOf(const EndpointId& endpoint,
                             std::chrono::milliseconds allowed,
--- a/tests/unit/gateway/view_source_test.cc
+++ b/tests/unit/gateway/view_source_test.cc
@@ -43,6 +43,7 @@
                &store_client,
                &peer_client,
                &view,
+               &quarantine,
                &log,
                &metrics) {
     ReaderSelector choice(settings.instance);
@@ -134,6 +135,7 @@
   GatewaySettings settings;
   LiveInstance reader;
   std::vector<LiveInstance> live;
+  PromptQuarantine quarantine;
   ViewSource source;
 };
 
