Refuse addresses that hold a NUL

An address with a NUL before its colon named another host than its text: inet_pton reads up to the NUL. Found by 'a malformed address is a failed connection' once a refused connection could be told from one that fails: the address 127.0.0.1, NUL, port 80 was connected to and refused.

--- a/src/common/tcp_socket.cc
+++ b/src/common/tcp_socket.cc
@@ -50,6 +50,10 @@
   }
   const std::uint16_t port = htons(ParsePort(text.substr(colon + 1)));
   std::string host = text.substr(0, colon);
+  // inet_pton would read it to the first NUL only.
+  if (host.find('\0') != std::string::npos) {
+    throw std::invalid_argument("NUL in address: " + text);
+  }
   TcpAddress address;
   if (host.size() >= 2 && host.front() == '[' && host.back() == ']') {
     host = host.substr(1, host.size() - 2);
