--- a/src/dispatch/prompt_quarantine.cc
+++ b/src/dispatch/prompt_quarantine.cc
@@ -1,6 +1,7 @@
 #include "src/dispatch/prompt_quarantine.h"
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <cmath>
@@ -19,8 +20,6 @@
 // Reports of one endpoint within this time are about the same crash: an
 // endpoint takes seconds to come back.
 constexpr milliseconds kSameCrash{1500};
-// Crashes of a cause that was not answered recently, over at least two moments:
-// endpoints that lose power together crash at one.
 constexpr double kMinCrashes = 3;
 constexpr milliseconds kMinSpan{150};
 // Distinct requests among them, so that one request is not taken for its parts.
@@ -34,15 +33,18 @@
 // Outcomes over which the rate of crashes is estimated.
 constexpr milliseconds kOutcomeWindow{5000};
 constexpr milliseconds kOutcomeSlice{100};
-constexpr milliseconds kCrashRetention{600000};
+constexpr milliseconds kCrashRetention{60000};
 constexpr milliseconds kAnswerRetention{60000};
+// Crashes of a request alone, without parts that it shares with others.
+constexpr milliseconds kRequestRetention{30000};
 // For how long an instance tells the others that it cleared a cause.
 constexpr milliseconds kClearedRetention{5000};
 // A block lapses after this time and is then tried; each trial that crashes an
 // endpoint doubles the time.
 constexpr milliseconds kBlockTime{600000};
 constexpr int kMaxDoublings = 5;
-constexpr milliseconds kTrialTimeout{30000};
+// Turn of an instance, in which it sends at most one request as a trial.
+constexpr milliseconds kTrialTime{30000};
 // A lapsed block without requests is removed after this time.
 constexpr milliseconds kUnusedBlockRetention{3600000};
 constexpr std::size_t kMaxCrashes = 512;
@@ -52,6 +54,18 @@
 constexpr std::size_t kMaxParts = 16;
 constexpr std::size_t kMaxIdBytes = 64;
 
+// Ids come from callers and become keys of rows: what is too long or no plain
+// text is replaced by its hash.
+std::string KeyText(const std::string& text) {
+  bool plain = text.size() <= kMaxIdBytes &&
+               std::all_of(text.begin(), text.end(), [](unsigned char byte) {
+                 return byte > ' ' && byte < 0x7f && byte != '/';
+               });
+  return plain
+             ? text
+             : fmt::format("hash-{:016x}", XXH64(text.data(), text.size(), 0));
+}
+
 std::vector<CauseId> CausesOf(const CrashProfile& profile) {
   std::vector<CauseId> causes = profile.parts;
   causes.push_back(profile.request);
@@ -69,13 +83,13 @@
                               const std::vector<std::string>& shared_parts) {
   CrashProfile profile;
   profile.service = service;
-  profile.request = CauseId(fmt::format("request/{}/{:016x}", service.value(),
-                                        static_cast<std::uint64_t>(request)));
+  profile.request =
+      CauseId(fmt::format("request/{}/{:016x}", KeyText(service.value()),
+                          static_cast<std::uint64_t>(request)));
   for (const std::string& part : shared_parts) {
-    if (profile.parts.size() < kMaxParts && !part.empty() &&
-        part.size() <= kMaxIdBytes) {
+    if (profile.parts.size() < kMaxParts && !part.empty()) {
       profile.parts.emplace_back(
-          fmt::format("part/{}/{}", service.value(), part));
+          fmt::format("part/{}/{}", KeyText(service.value()), KeyText(part)));
     }
   }
   return profile;
@@ -86,6 +100,7 @@
   if (blocks_.empty()) {
     return {};
   }
+  std::vector<Block*> trials;
   for (const CauseId& cause : CausesOf(profile)) {
     auto found = blocks_.find(cause);
     if (found == blocks_.end()) {
@@ -97,16 +112,28 @@
       auto left = block.since + BlockTime(block.strikes) - now;
       return {false, cause, duration_cast<milliseconds>(left)};
     }
-    bool in_trial =
-        block.trial_at.has_value() && now - *block.trial_at < kTrialTimeout;
-    if (in_trial || !is_trial_owner_(cause)) {
-      return {false, cause, kTrialTimeout};
+    if (!IsTrialDue(cause, block, now)) {
+      return {false, cause, kTrialTime};
     }
-    block.trial_at = now;
+    trials.push_back(&block);
+  }
+  for (Block* block : trials) {
+    block->trial_at = now;
   }
   return {};
 }
 
+bool PromptQuarantine::IsTrialDue(const CauseId& cause,
+                                  const Block& block,
+                                  TimePoint now) const {
+  TrialTurn turn = trial_turn_(cause);
+  auto lapsed = now - block.since - BlockTime(block.strikes);
+  bool own_turn = lapsed / kTrialTime % std::max(turn.instances, 1) ==
+                  std::min(turn.rank, std::max(turn.instances, 1) - 1);
+  return own_turn &&
+         (!block.trial_at.has_value() || now - *block.trial_at >= kTrialTime);
+}
+
 bool PromptQuarantine::IsCleared(const CrashProfile& profile,
                                  TimePoint now) const {
   return std::all_of(profile.parts.begin(), profile.parts.end(),
@@ -200,7 +227,8 @@
 }
 
 void PromptQuarantine::OnAnswered(const CrashProfile& profile, TimePoint now) {
-  OutcomesOf(profile.service).answered.Add(now);
+  Outcomes& outcomes = OutcomesOf(profile.service);
+  outcomes.answered.Add(now);
   for (const CauseId& part : profile.parts) {
     RecordAnswer(part, now);
   }
@@ -214,14 +242,14 @@
   auto found = answers_.find(cause);
   if (found == answers_.end()) {
     if (answers_.size() >= kMaxAnswers) {
-      return;
+      answers_.erase(answers_.begin());
     }
     answers_.emplace(cause, at);
   } else {
     found->second = std::max(found->second, at);
   }
   if (!crashes_.empty()) {
-    RemoveCleared(cause);
+    RemoveCleared(cause, at);
   }
   auto block = blocks_.find(cause);
   if (block != blocks_.end() && block->second.since < at) {
@@ -230,8 +258,7 @@
   }
 }
 
-void PromptQuarantine::RemoveCleared(const CauseId& cause) {
-  TimePoint answered = answers_.at(cause);
+void PromptQuarantine::RemoveCleared(const CauseId& cause, TimePoint answered) {
   for (Crash& crash : crashes_) {
     if (crash.at > answered) {
       break;
@@ -291,7 +318,9 @@
     auto known = blocks_.find(entry.cause);
     bool newer =
         known == blocks_.end() || known->second.strikes < entry.strikes;
-    if (!newer) {
+    bool outdated =
+        entry.age > BlockTime(entry.strikes) + kUnusedBlockRetention;
+    if (!newer || outdated) {
       continue;
     }
     if (IsAnsweredSince(entry.cause, since)) {
@@ -329,7 +358,7 @@
 void PromptQuarantine::Evaluate(TimePoint now) {
   // Each block explains crashes, so that what merely ran beside it is not
   // blocked as well.
-  while (true) {
+  while (!crashes_.empty()) {
     std::map<CauseId, Suspicion> suspicions = Suspicions();
     const std::pair<const CauseId, Suspicion>* best = nullptr;
     for (const auto& entry : suspicions) {
@@ -345,10 +374,11 @@
         best = &entry;
       }
     }
-    if (best == nullptr) {
+    // It counts from the latest crash, so that a later answer ends it.
+    if (best == nullptr ||
+        !StartBlock(best->first, best->second.last, 0, best->second.crashes)) {
       return;
     }
-    StartBlock(best->first, now, 0, best->second.crashes);
   }
 }
 
@@ -408,12 +438,12 @@
   return outcomes_.emplace(service, Outcomes{counter, counter}).first->second;
 }
 
-void PromptQuarantine::StartBlock(const CauseId& cause,
+bool PromptQuarantine::StartBlock(const CauseId& cause,
                                   TimePoint since,
                                   int strikes,
                                   int crashes) {
   if (blocks_.count(cause) == 0 && blocks_.size() >= kMaxBlocks) {
-    return;
+    return false;
   }
   Block& block = blocks_[cause];
   block.since = std::max(block.since, since);
@@ -426,6 +456,7 @@
       std::remove_if(crashes_.begin(), crashes_.end(),
                      [this](const Crash& crash) { return IsExplained(crash); }),
       crashes_.end());
+  return true;
 }
 
 void PromptQuarantine::EndBlock(const CauseId& cause) {
@@ -454,6 +485,21 @@
   while (!crashes_.empty() && crashes_.front().at < now - kCrashRetention) {
     crashes_.pop_front();
   }
+  for (Crash& crash : crashes_) {
+    if (now - crash.at > kRequestRetention) {
+      // A request of its own is not sent again so late.
+      crash.waiting.erase(
+          std::remove_if(crash.waiting.begin(), crash.waiting.end(),
+                         [](const CrashProfile& profile) {
+                           return profile.parts.empty();
+                         }),
+          crash.waiting.end());
+    }
+  }
+  crashes_.erase(
+      std::remove_if(crashes_.begin(), crashes_.end(),
+                     [](const Crash& crash) { return crash.waiting.empty(); }),
+      crashes_.end());
   for (auto entry = answers_.begin(); entry != answers_.end();) {
     entry = entry->second < now - kAnswerRetention ? answers_.erase(entry)
                                                    : std::next(entry);
--- a/src/dispatch/prompt_quarantine.h
+++ b/src/dispatch/prompt_quarantine.h
@@ -84,10 +84,14 @@
     int strikes = 0;
   };
 
-  // Decides whether this instance makes the trial of a cause whose block has
-  // lapsed. At most one instance should.
-  void SetTrialOwner(std::function<bool(const CauseId&)> is_owner) {
-    is_trial_owner_ = std::move(is_owner);
+  // Position of this instance among all, in an order that depends on the cause.
+  struct TrialTurn {
+    int rank = 0;
+    int instances = 1;
+  };
+  // Instances make the trials of a lapsed block in turns, one at a time.
+  void SetTrialTurn(std::function<TrialTurn(const CauseId&)> turn) {
+    trial_turn_ = std::move(turn);
   }
 
   // Whether the request may be sent. A request admitted as a trial counts as
@@ -158,7 +162,8 @@
   // Blocks lapsed causes again that a crash has in common with their trial.
   void RenewBlocks(const std::vector<CrashProfile>& waiting, TimePoint at);
   void RecordAnswer(const CauseId& cause, TimePoint at);
-  void StartBlock(const CauseId& cause,
+  // Returns false if there is no room for one more block.
+  bool StartBlock(const CauseId& cause,
                   TimePoint since,
                   int strikes,
                   int crashes);
@@ -166,9 +171,12 @@
   // Removes the causes that were answered at or after the time.
   CrashProfile WithoutCleared(const CrashProfile& profile, TimePoint at) const;
   bool IsAnsweredSince(const CauseId& cause, TimePoint time) const;
-  void RemoveCleared(const CauseId& cause);
+  void RemoveCleared(const CauseId& cause, TimePoint answered);
   bool IsExplained(const Crash& crash) const;
   bool IsLapsed(const Block& block, TimePoint now) const;
+  bool IsTrialDue(const CauseId& cause,
+                  const Block& block,
+                  TimePoint now) const;
   std::map<CauseId, Suspicion> Suspicions() const;
   bool IsSufficient(const CauseId& cause,
                     const Suspicion& suspicion,
@@ -177,8 +185,8 @@
   double RequiredCrashes(const ServiceId& service, TimePoint now);
   Outcomes& OutcomesOf(const ServiceId& service);
 
-  std::function<bool(const CauseId&)> is_trial_owner_ = [](const CauseId&) {
-    return true;
+  std::function<TrialTurn(const CauseId&)> trial_turn_ = [](const CauseId&) {
+    return TrialTurn();
   };
   // Invariant: in the order of `at`; none has a blocked cause or one that was
   // answered since.
--- a/src/gateway/crash_evidence_exchange.cc
+++ b/src/gateway/crash_evidence_exchange.cc
@@ -205,7 +205,8 @@
                   fmt::format("peer={} {}", call.address, error.what()));
     }
   }
-  End(id, true);
+  constexpr int kNotFound = 404;
+  End(id, call.status == 200 || call.status == kNotFound);
 }
 
 void CrashEvidenceExchange::OnFailed(CallId call,
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -103,8 +103,10 @@
   // of them that ended with a crash of the endpoint.
   int early_breaks = 0;
   int crashes = 0;
-  // The repeat waits until it is known whether the endpoint has crashed.
-  bool awaits_probe = false;
+  // Breaks of which it is not known yet whether the endpoint has crashed.
+  int pending_probes = 0;
+  // The repeat waits until that is known of all of them.
+  bool awaits_probes = false;
   // Admitted by the quarantine; reset when an attempt breaks early.
   bool admitted = false;
   // Why this instance ended the request itself, for the log.
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -375,7 +375,9 @@
     Repeat(exchange, "unsealed");
     return;
   }
-  ReportAnswered(exchange);
+  if (status < 500) {
+    ReportAnswered(exchange);
+  }
   if (!paused) {
     RecordOutcome(*exchange, status >= 500);
   }
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -268,6 +268,8 @@
 }
 
 void Forwarder::Repeat(Exchange* exchange, std::string_view reason) {
+  // What it holds may have been blocked since.
+  exchange->admitted = false;
   bool was_sent = exchange->sends > 0;
   if (!MayRepeat(*exchange)) {
     GiveUp(exchange, 502, reason, "attempts");
--- a/src/gateway/forwarder_crashes.cc
+++ b/src/gateway/forwarder_crashes.cc
@@ -76,12 +76,22 @@
   bool wait = ++exchange->early_breaks >= kMaxCrashes;
   EndpointId endpoint = exchange->attempt->endpoint;
   std::string address = exchange->attempt->address;
+  // One that leaves may stop at any time.
+  const RoutedEndpoint* record = pool_.Find(endpoint);
+  bool may_crash = record != nullptr &&
+                   record->state == EndpointState::kReady &&
+                   !pool_.notices().IsLeaving(endpoint);
   EndAttempt(exchange, AttemptResult::kBroken);
+  if (!may_crash) {
+    Repeat(exchange, reason);
+    return;
+  }
+  ++exchange->pending_probes;
   crash_watch_.OnBroken(
       endpoint, address, exchange->crash_profile,
       [this, caller = exchange->caller, id = exchange->metadata.request_id](
           bool crashed) { OnBreakExplained(caller, id, crashed); });
-  exchange->awaits_probe = wait;
+  exchange->awaits_probes = wait;
   if (!wait) {
     Repeat(exchange, reason);
   }
@@ -95,9 +105,11 @@
     return;
   }
   exchange->crashes += crashed ? 1 : 0;
-  if (!std::exchange(exchange->awaits_probe, false)) {
+  --exchange->pending_probes;
+  if (!exchange->awaits_probes || exchange->pending_probes > 0) {
     return;
   }
+  exchange->awaits_probes = false;
   if (MayCrashEndpoints(*exchange)) {
     GiveUp(exchange, 502, "crashes_endpoints", "crashes_endpoints");
   } else {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -142,8 +142,8 @@
                 log),
       crash_evidence_(transport, &peer_client_, log, &forwarder_.quarantine()),
       quarantine_store_(view_, &forwarder_.quarantine(), &writer_) {
-  forwarder_.quarantine().SetTrialOwner(
-      [this](const CauseId& cause) { return IsTrialOwner(cause); });
+  forwarder_.quarantine().SetTrialTurn(
+      [this](const CauseId& cause) { return TrialTurnOf(cause); });
   forwarder_.SetServer(&caller_server_);
   readiness_handler_.SetServer(&readiness_server_);
   peer_service_.SetServer(&peer_server_);
@@ -301,15 +301,17 @@
   }
 }
 
-bool Gateway::IsTrialOwner(const CauseId& cause) const {
+PromptQuarantine::TrialTurn Gateway::TrialTurnOf(const CauseId& cause) const {
   auto weight = [&cause](const InstanceId& instance) {
     std::string text = instance.value() + "/" + cause.value();
     return XXH64(text.data(), text.size(), 0);
   };
   std::uint64_t own = weight(settings_.instance);
-  return std::none_of(
-      source_.live().begin(), source_.live().end(),
-      [&](const LiveInstance& live) { return weight(live.instance) > own; });
+  const std::vector<LiveInstance>& live = source_.live();
+  auto rank = std::count_if(
+      live.begin(), live.end(),
+      [&](const LiveInstance& other) { return weight(other.instance) > own; });
+  return {static_cast<int>(rank), static_cast<int>(live.size())};
 }
 
 void Gateway::UpdateMetrics(TimePoint now) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -87,8 +87,7 @@
   void UpdateMetrics(TimePoint now);
   void StepQuarantine(TimePoint now);
   void LogQuarantineChanges();
-  // Whether this instance makes the trials of a cause that was blocked.
-  bool IsTrialOwner(const CauseId& cause) const;
+  PromptQuarantine::TrialTurn TrialTurnOf(const CauseId& cause) const;
   void CheckShutdown();
 
   const GatewaySettings settings_;
