Judge a crashing part by the crashes of others

Change: the rate is that of the crashes in which the suspected cause has no request. The simulations of crashes with other causes still block no sound request.

Red before: 'a part is blocked though its crashes take many requests along', 15 crashes where 5 are allowed; after, it passes.

--- a/src/dispatch/prompt_quarantine.cc
+++ b/src/dispatch/prompt_quarantine.cc
@@ -168,6 +168,11 @@
   if (AddCrash(endpoint, waiting, now)) {
     ++revision_;
   }
+  for (Crash& crash : crashes_) {
+    if (crash.endpoint == endpoint && now - crash.at < kSameCrash) {
+      crash.own_requests += static_cast<int>(waiting.size());
+    }
+  }
 }
 
 // Only a crash during a trial counts against a blocked cause: requests that
@@ -398,7 +403,10 @@
           suspicion.is_request = i == profile.parts.size();
         }
         suspicion.last = crash.at;
-        suspicion.crashes += counted.emplace(causes[i], true).second ? 1 : 0;
+        if (counted.emplace(causes[i], true).second) {
+          ++suspicion.crashes;
+          suspicion.own_requests += crash.own_requests;
+        }
         suspicion.requests.insert(profile.request);
       }
     }
@@ -411,7 +419,7 @@
                                     TimePoint now) {
   bool was_answered =
       IsAnsweredSince(cause, suspicion.first - kAnswerRetention);
-  double required = RequiredCrashes(suspicion.service, now) +
+  double required = RequiredCrashes(suspicion, now) +
                     (was_answered ? kMoreCrashesIfAnswered : 0);
   return suspicion.crashes >= required &&
          suspicion.last - suspicion.first >=
@@ -419,10 +427,12 @@
          (suspicion.is_request || suspicion.requests.size() >= kMinRequests);
 }
 
-double PromptQuarantine::RequiredCrashes(const ServiceId& service,
+double PromptQuarantine::RequiredCrashes(const Suspicion& suspicion,
                                          TimePoint now) {
-  Outcomes& outcomes = OutcomesOf(service);
-  auto crashed = static_cast<double>(outcomes.crashed.Count(now)) + 1;
+  Outcomes& outcomes = OutcomesOf(suspicion.service);
+  auto others = std::max<std::int64_t>(
+      outcomes.crashed.Count(now) - suspicion.own_requests, 0);
+  auto crashed = static_cast<double>(others) + 1;
   auto all = static_cast<double>(outcomes.answered.Count(now)) + crashed;
   double rate = crashed / all;
   // Without answers, endpoints crash whatever they get.
--- a/src/dispatch/prompt_quarantine.h
+++ b/src/dispatch/prompt_quarantine.h
@@ -138,6 +138,8 @@
     EndpointId endpoint;
     TimePoint at;
     std::vector<CrashProfile> waiting;
+    // Requests of this instance that the crash took along.
+    int own_requests = 0;
   };
   // Requests of one service that this instance sent.
   struct Outcomes {
@@ -148,6 +150,8 @@
   struct Suspicion {
     ServiceId service;
     int crashes = 0;
+    // Requests of this instance in these crashes.
+    int own_requests = 0;
     TimePoint first;
     TimePoint last;
     std::set<CauseId> requests;
@@ -181,8 +185,10 @@
   bool IsSufficient(const CauseId& cause,
                     const Suspicion& suspicion,
                     TimePoint now);
-  // Crashes that a sound cause is unlikely to meet.
-  double RequiredCrashes(const ServiceId& service, TimePoint now);
+  // Crashes that a sound cause is unlikely to meet, judged by the other
+  // crashes: those of a crashing part alone would raise the number as fast as
+  // they come.
+  double RequiredCrashes(const Suspicion& suspicion, TimePoint now);
   Outcomes& OutcomesOf(const ServiceId& service);
 
   std::function<TrialTurn(const CauseId&)> trial_turn_ = [](const CauseId&) {
--- a/tests/unit/dispatch/prompt_quarantine_test.cc
+++ b/tests/unit/dispatch/prompt_quarantine_test.cc
@@ -269,6 +269,31 @@
   }
 }
 
+// Guards against crashes that raise the number required as fast as they come.
+TEST_CASE("a part is blocked though its crashes take many requests along",
+          "[dispatch]") {
+  PromptQuarantine quarantine;
+  AnswerOthers(&quarantine, kStart - seconds(1));
+  int crashes = 0;
+  while (quarantine.blocks().empty() && crashes < 20) {
+    TimePoint now = kStart + milliseconds(350 * crashes);
+    std::vector<CrashProfile> waiting{Profile(crashes, {"first", "bad"})};
+    for (int i = 0; i < 15; ++i) {
+      int number = 1000 + crashes * 15 + i;
+      waiting.push_back(Profile(number, {"first", std::to_string(number)}));
+    }
+    quarantine.OnCrash(Endpoint(crashes), waiting, now);
+    for (int i = 0; i < 20; ++i) {
+      quarantine.OnAnswered(Profile(900 + i, {"first"}), now);
+    }
+    quarantine.Evaluate(now);
+    ++crashes;
+  }
+  CHECK(crashes <= kMaxCrashes);
+  REQUIRE(quarantine.blocks().size() == 1);
+  CHECK(quarantine.blocks().begin()->first == CauseId("part/s/bad"));
+}
+
 // After an outage the rate of crashes is low again, and its crashes still
 // known.
 TEST_CASE("crashes of an outage block nothing afterwards", "[dispatch]") {
