review: show an added route whose answers are dropped

Seen: on a streaming route with sizes that isn't resumable, each answer of low confidence is dropped to escalate, and the request then ends with 502, although it ran and its answer was sound. Cause: the escalation does not ask whether the request may run twice.

--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -637,6 +637,32 @@
     return runs_;
   }
   int refusals() const { return refusals_; }
+  // Answers with a stream that goes on after Last-Event-Id; `fields` are more
+  // header lines. Returns whether the connection is still of use.
+  bool Stream(int fd, const Message& request, const std::string& fields) {
+    std::string id = request.Field("Filbertshift-Attempt-Id");
+    std::string head = "HTTP/1.1 200 OK\r\nFilbertshift-Attempt-Id: " + id +
+                       "\r\nFilbertshift-Response-Seal: seal." + id + "\r\n" +
+                       fields;
+    int first = std::atoi(request.Field("Last-Event-Id").c_str()) + 1;
+    if (WorkFor(fd, options_.work_ms) ||
+        !SendAll(fd,
+                 head + "Content-Type: text/event-stream\r\nTransfer-Encoding: "
+                        "chunked\r\n\r\n")) {
+      return false;
+    }
+    for (int number = first; number <= options_.events; ++number) {
+      std::string event = "id: " + std::to_string(number) + "\ndata: " + id +
+                          "/" + std::to_string(number) + "\n\n";
+      char size[32];
+      std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
+      if (!SendAll(fd, size + event + "\r\n") ||
+          WorkFor(fd, options_.event_ms)) {
+        return false;
+      }
+    }
+    return SendAll(fd, "0\r\n\r\n");
+  }
   void SetState(const std::string& state) {
     {
       std::lock_guard<std::mutex> lock(mutex_);
@@ -775,24 +801,7 @@
       }
       return sent;
     }
-    int first = std::atoi(request.Field("Last-Event-Id").c_str()) + 1;
-    if (WorkFor(fd, options_.work_ms) ||
-        !SendAll(fd,
-                 head + "Content-Type: text/event-stream\r\nTransfer-Encoding: "
-                        "chunked\r\n\r\n")) {
-      return false;
-    }
-    for (int number = first; number <= options_.events; ++number) {
-      std::string event = "id: " + std::to_string(number) + "\ndata: " + id +
-                          "/" + std::to_string(number) + "\n\n";
-      char size[32];
-      std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
-      if (!SendAll(fd, size + event + "\r\n") ||
-          WorkFor(fd, options_.event_ms)) {
-        return false;
-      }
-    }
-    return SendAll(fd, "0\r\n\r\n");
+    return Stream(fd, request, "");
   }
 
   const WorkerOptions options_;
@@ -982,6 +991,11 @@
   Message Call(const Request& request) {
     return Send(request) ? Receive(request.deadline_ms + 1000) : Message();
   }
+  void CloseIf(bool condition) {
+    if (condition) {
+      Close();
+    }
+  }
   void Close() {
     if (fd_ >= 0) {
       close(fd_);
