review: show requests that a planned stop leaves without an answer

Seen: requests that wait behind another one on their connection when SIGTERM comes get neither an answer nor a refusal, 400 ms after their last byte. Cause: the connection is closed after the answer in progress, with its buffered bytes.

--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -988,6 +988,10 @@
     }
     return answer;
   }
+  // Leaves the connection open for answers that may follow.
+  Message ReceiveNext(double timeout_ms) {
+    return reader_->Read(true, timeout_ms);
+  }
   Message Call(const Request& request) {
     return Send(request) ? Receive(request.deadline_ms + 1000) : Message();
   }
