--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -109,6 +109,8 @@
             {"Filbertshift-Token-Count", "820,70"},
             {"Filbertshift-Prompt-Prefix",
              "5c1e07a2:600,f" + std::to_string(c * 100000 + n) + ":220"}};
+        record.Write("client sends %s %s", request.path.c_str(),
+                     request.id.c_str());
         Message answer = client.Call(request);
         bool whole = answer.complete && answer.status() == 200 &&
                      answer.body.find("id: 10\n") != std::string::npos;
