review: form of the cases, and doses that can't be exceeded

The share of second answers (case 1) and the tenant's rate (case 2) are now exact instead of drawn at random.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -14,7 +14,8 @@
 // Share of the answers of one of two workers that come twice.
 constexpr double kDoubled = 0.03;
 constexpr double kQuietMs = 2000;
-constexpr double kTroubleMs = 5000;
+// Of the 5 s, the latest second answer takes 14 ms.
+constexpr double kTroubleMs = 4950;
 constexpr double kMeanPauseMs = 50;
 
 }  // namespace
@@ -28,7 +29,10 @@
   Record record(argv[3]);
   Store store(&record);
   std::atomic<bool> garbling{false};
+  std::mutex garble_mutex;
   std::atomic<int> copies{0};
+  // Answers of the worker while it is in trouble.
+  std::atomic<int> answers{0};
   std::vector<std::unique_ptr<Worker>> workers;
   for (int i = 0; i < kWorkers; ++i) {
     Worker::Hooks hooks;
@@ -36,12 +40,18 @@
       auto second_answer = [&](int fd, const Message& request,
                                const std::string& sent) {
         thread_local std::mt19937 random(std::random_device{}());
-        std::uniform_real_distribution<double> share(0, 1);
-        if (!garbling || share(random) >= kDoubled) {
+        if (!garbling) {
           return;
         }
+        // Never more than the share of the answers so far.
+        {
+          std::lock_guard<std::mutex> lock(garble_mutex);
+          if (copies + 1 > kDoubled * ++answers) {
+            return;
+          }
+          ++copies;
+        }
         SleepMs(std::uniform_real_distribution<double>(2, 14)(random));
-        ++copies;
         record.Write("worker w0 sends a second answer to %s",
                      request.Field("Filbertshift-Attempt-Id").c_str());
         SendAll(fd, sent);
@@ -137,7 +147,8 @@
   for (const auto& [status, count] : counts) {
     std::printf(" %d x %d", status, count);
   }
-  std::printf("; second answers: %d; ran twice: %d; refused and ran: %d\n",
-              copies.load(), twice, refused);
+  std::printf(
+      "; second answers: %d of %d; ran twice: %d; refused and ran: %d\n",
+      copies.load(), answers.load(), twice, refused);
   Exit(!counts.count(200) ? 2 : twice + refused > 0 ? 1 : 0);
 }
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -19,7 +19,7 @@
 constexpr double kHotFactor = 7.5;
 constexpr double kQuietMs = 5000;
 constexpr double kHotMs = 6500;
-constexpr int kConnections = 80;
+constexpr int kConnections = 60;
 // Requests cut that the rule allows.
 constexpr int kAllowed = 3;
 
@@ -91,13 +91,14 @@
   std::vector<std::string> cut;
   int sent = 0;
   std::atomic<int> running{0};
-  auto call = [&](const std::string& key, std::size_t body_bytes) {
+  auto call = [&](const std::string& key, std::size_t body_bytes,
+                  bool may_reuse) {
     std::unique_ptr<Client> client;
     Request request;
     {
       std::lock_guard<std::mutex> lock(mutex);
       request.id = "r" + std::to_string(++sent);
-      if (!idle.empty()) {
+      if (may_reuse && !idle.empty()) {
         client = std::move(idle.back());
         idle.pop_back();
       }
@@ -125,34 +126,32 @@
     }
     --running;
   };
-  auto send_at = [&](const std::string& key, unsigned seed, double rate,
-                     double hot_rate) {
-    std::mt19937 random(seed);
-    double next = NowMs();
-    double start = next;
-    while (NowMs() - start < kQuietMs + kHotMs + 2000) {
-      double elapsed = NowMs() - start;
+  // Evenly spaced, so that the rates are exact.
+  auto send_at = [&](const std::string& key, double rate, double hot_rate) {
+    double start = NowMs();
+    double next = start;
+    while (next - start < kQuietMs + kHotMs + 2000) {
+      double elapsed = next - start;
       bool hot = elapsed >= kQuietMs && elapsed < kQuietMs + kHotMs;
-      next += std::exponential_distribution<double>((hot ? hot_rate : rate) /
-                                                    1000)(random);
+      next += 1000 / (hot ? hot_rate : rate);
       SleepMs(next - NowMs());
       if (running < 200) {
         ++running;
-        std::thread(call, key, kBodyBytes).detach();
+        std::thread(call, key, kBodyBytes, true).detach();
       }
     }
   };
   // The clients' connections, each with one small request.
   for (int i = 0; i < kConnections; ++i) {
     ++running;
-    std::thread(call, "key-of-tenant-b", std::size_t{100}).detach();
-    SleepMs(40);
+    std::thread(call, "key-of-tenant-b", std::size_t{100}, false).detach();
+    SleepMs(1000 / kOtherRate);
   }
   while (running > 0) {
     SleepMs(20);
   }
-  std::thread others(send_at, "key-of-tenant-b", 1U, kOtherRate, kOtherRate);
-  std::thread large(send_at, "key-of-tenant-a", 2U, kTenantRate,
+  std::thread others(send_at, "key-of-tenant-b", kOtherRate, kOtherRate);
+  std::thread large(send_at, "key-of-tenant-a", kTenantRate,
                     trouble ? kTenantRate * kHotFactor : kTenantRate);
   others.join();
   large.join();
--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -871,6 +872,8 @@
     std::string log = folder_ + "/" + name_ + ".log";
     pid_ = fork();
     if (pid_ == 0) {
+      // Ends with the driver, also if that is killed.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       dup2(out, 1);
       dup2(out, 2);
