Use another connection for a repeat of the same request

The late second copy of a request's own refusal names the request, so it was taken for the answer to its repeat on the same connection. An id tells the request, not the send.

Ruled out: copies of other requests' answers, unread bytes, answers without an id. HttpClient now leaves out connections that have carried the same id. A connection ends after 1,024 requests with ids, which bounds the memory.

--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -194,8 +194,10 @@
   versions_.OnRequestSent(exchange->session, endpoint.version, now);
   milliseconds max_idle =
       exchange->route->repeatable() ? kMaxIdle : kMaxIdleUnrepeatable;
-  attempt.call = client_.Start(
-      endpoint.address, EncodeAttempt(*exchange, endpoint), max_idle, this);
+  attempt.call =
+      client_.Start({endpoint.address, EncodeAttempt(*exchange, endpoint),
+                     max_idle, exchange->metadata.request_id},
+                    this);
   callers_by_call_[static_cast<std::uint64_t>(attempt.call)] = exchange->caller;
   exchange->attempt = std::move(attempt);
   // Counted at the start: until its connection fails, a repeat cannot be told
--- a/src/gateway/http_client.cc
+++ b/src/gateway/http_client.cc
@@ -1,5 +1,7 @@
 #include "src/gateway/http_client.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -19,6 +21,9 @@
 constexpr int kMaxSkippedResponses = 3;
 // Maximum interim responses (1xx) before a final one.
 constexpr int kMaxInterimResponses = 16;
+// A connection is not reused after this many requests with ids, which bounds
+// the memory of their hashes.
+constexpr std::size_t kMaxRequestIds = 1024;
 
 std::uint64_t Number(ConnectionId id) {
   return static_cast<std::uint64_t>(id);
@@ -60,46 +65,80 @@
   return found == connections_.end() ? nullptr : found->second.get();
 }
 
+bool HttpClient::IsUsable(ConnectionId id,
+                          const Connection& connection,
+                          milliseconds max_idle) {
+  auto idle = transport_->Now() - connection.idle_since;
+  return idle <= max_idle &&
+         idle + kPeerIdleMargin <= connection.peer_idle_limit &&
+         !transport_->HasUnreadData(id);
+}
+
 ConnectionId HttpClient::TakeIdle(const std::string& address,
-                                  milliseconds max_idle) {
+                                  milliseconds max_idle,
+                                  std::optional<std::uint64_t> request_id) {
   auto found = idle_.find(address);
   if (found == idle_.end()) {
     return ConnectionId{};
   }
   std::deque<ConnectionId>& idle_connections = found->second;
-  TimePoint now = transport_->Now();
-  while (!idle_connections.empty()) {
+  ConnectionId taken{};
+  // Connections that only this request may not use.
+  std::vector<ConnectionId> passed_over;
+  while (!idle_connections.empty() && taken == ConnectionId{}) {
     ConnectionId id = idle_connections.back();
     idle_connections.pop_back();
     Connection* connection = Find(id);
     if (connection == nullptr) {
       continue;
     }
-    auto idle = now - connection->idle_since;
-    if (idle <= max_idle &&
-        idle + kPeerIdleMargin <= connection->peer_idle_limit &&
-        !transport_->HasUnreadData(id)) {
-      return id;
+    if (!IsUsable(id, *connection, max_idle)) {
+      Drop(id);
+      continue;
     }
-    Drop(id);
+    const std::vector<std::uint64_t>& carried = connection->request_ids;
+    if (request_id.has_value() &&
+        std::find(carried.begin(), carried.end(), *request_id) !=
+            carried.end()) {
+      passed_over.push_back(id);
+      continue;
+    }
+    taken = id;
   }
-  idle_.erase(found);
-  return ConnectionId{};
+  idle_connections.insert(idle_connections.end(), passed_over.rbegin(),
+                          passed_over.rend());
+  if (idle_connections.empty()) {
+    idle_.erase(found);
+  }
+  return taken;
 }
 
 CallId HttpClient::Start(const std::string& address,
                          std::string message,
                          milliseconds max_idle,
                          CallListener* listener) {
+  return Start({address, std::move(message), max_idle, std::string()},
+               listener);
+}
+
+CallId HttpClient::Start(HttpCall request, CallListener* listener) {
   CallId call{++last_call_};
-  ConnectionId id = TakeIdle(address, max_idle);
+  std::optional<std::uint64_t> id_hash;
+  if (!request.request_id.empty()) {
+    id_hash =
+        XXH64(request.request_id.data(), request.request_id.size(), 0);
+  }
+  ConnectionId id = TakeIdle(request.address, request.max_idle, id_hash);
   if (id == ConnectionId{}) {
-    id = transport_->Connect(address, connect_timeout_, this);
+    id = transport_->Connect(request.address, connect_timeout_, this);
     ++connections_opened_;
     connections_.emplace(Number(id), std::make_unique<Connection>(limits_));
-    Find(id)->address = address;
+    Find(id)->address = std::move(request.address);
   }
   Connection* connection = Find(id);
+  if (id_hash.has_value()) {
+    connection->request_ids.push_back(*id_hash);
+  }
   connection->call = call;
   connection->listener = listener;
   connection->head_reported = false;
@@ -111,9 +150,9 @@
   connection->parser.Reset();
   calls_[Number(call)] = id;
   if (connection->connected) {
-    transport_->Send(id, message);
+    transport_->Send(id, request.message);
   } else {
-    connection->message = std::move(message);
+    connection->message = std::move(request.message);
   }
   return call;
 }
@@ -265,7 +304,8 @@
   // After a response that precedes the end of the request, the rest of the body
   // would be sent where the peer expects the next request.
   bool reusable = connection->parser.keep_alive() && !connection->last &&
-                  !extra_bytes && transport_->UnsentBytes(id) == 0;
+                  !extra_bytes && transport_->UnsentBytes(id) == 0 &&
+                  connection->request_ids.size() < kMaxRequestIds;
   if (reusable) {
     connection->idle_since = transport_->Now();
     connection->peer_idle_limit =
--- a/src/gateway/http_client.h
+++ b/src/gateway/http_client.h
@@ -8,9 +8,11 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "src/http1/http1.h"
 #include "src/net/net.h"
@@ -47,6 +49,19 @@
                         std::string_view detail) = 0;
 };
 
+struct HttpCall {
+  // "ip:port".
+  std::string address;
+  std::string message;
+  // An open connection is reused if it has been idle for at most this long.
+  std::chrono::milliseconds max_idle{0};
+  // Id that the peer repeats in its response; empty if it does not. A
+  // connection that has carried a request with this id is not reused: a late
+  // second copy of the earlier response could not be told apart from the
+  // response to this call.
+  std::string request_id;
+};
+
 class HttpClient : public ConnectionListener {
  public:
   // `limits` apply to each response.
@@ -54,8 +69,8 @@
              std::chrono::milliseconds connect_timeout,
              HttpParseLimits limits = HttpParseLimits());
 
-  // `address` is "ip:port". An open connection is reused if it has been idle
-  // for at most `max_idle`.
+  CallId Start(HttpCall call, CallListener* listener);
+  // For a peer whose responses name no request.
   CallId Start(const std::string& address,
                std::string message,
                std::chrono::milliseconds max_idle,
@@ -90,6 +105,8 @@
     int skipped = 0;
     // Requests since the connection opened, with the current one.
     int requests = 0;
+    // Hashes of the ids of these requests, where they have one.
+    std::vector<std::uint64_t> request_ids;
     // Interim responses to the current request.
     int interim = 0;
     // The connection ends with the current response.
@@ -103,8 +120,14 @@
   };
 
   Connection* Find(ConnectionId id);
+  // `request_id` is a hash, or empty.
   ConnectionId TakeIdle(const std::string& address,
-                        std::chrono::milliseconds max_idle);
+                        std::chrono::milliseconds max_idle,
+                        std::optional<std::uint64_t> request_id);
+  // Whether a request can be sent on an idle connection.
+  bool IsUsable(ConnectionId id,
+                const Connection& connection,
+                std::chrono::milliseconds max_idle);
   void Parse(ConnectionId id, std::string_view data);
   // Prepares for the next response after an interim or a foreign one. Returns
   // false if the call has failed.
--- a/tests/unit/gateway/refusal_copy_test.cc
+++ b/tests/unit/gateway/refusal_copy_test.cc
@@ -6,6 +6,9 @@
 
 #include <fmt/format.h>
 
+#include <cstdint>
+#include <set>
+
 #include "src/net/tcp_loop.h"
 #include "tests/unit/gateway/forwarder_fixture.h"
 #include "tests/unit/support/loopback.h"
@@ -206,6 +209,74 @@
   CHECK(k.f.NothingArrives(milliseconds(50)));
 }
 
+// Guards against a second run, and against "not run" for a request that runs:
+// the late copy of a request's own refusal arrives after its repeat was sent.
+TEST_CASE("a copy of a request's own refusal does not answer its repeat",
+          "[gateway]") {
+  int status = GENERATE(503, 429, 421, 400);
+  INFO(status);
+  ForwarderFixture f(1);
+  ConnectionId caller = f.Request("POST", "/once/x", "r1", "", "b");
+  Arrival first = f.NextArrival();
+  f.Respond(first, Refusal(status, "r1"));
+  Arrival repeat = f.NextArrival();
+  CHECK(Contains(repeat.text, "Filbertshift-Attempt-Id: r1"));
+  CHECK(repeat.connection != first.connection);
+  f.Respond(first, Refusal(status, "r1"));
+  CHECK(f.transport.TakeSent(caller).empty());
+  CHECK(f.NothingArrives(milliseconds(100)));
+  f.Respond(repeat, ForwarderFixture::WholeResponse(200, "r1", "mine"));
+  CHECK(Contains(f.transport.TakeSent(caller), "mine"));
+}
+
+// Guards against the same for a failure, whose copy would be taken for the
+// result of the second run.
+TEST_CASE("a copy of a request's own failure does not answer its repeat",
+          "[gateway]") {
+  ForwarderFixture f(1);
+  ConnectionId caller = f.Request("GET", "/safe/x", "r1");
+  Arrival first = f.NextArrival();
+  std::string failure = ForwarderFixture::WholeResponse(500, "r1", "failed");
+  f.Respond(first, failure);
+  Arrival repeat = f.NextArrival();
+  CHECK(repeat.connection != first.connection);
+  f.Respond(first, failure);
+  CHECK(f.transport.TakeSent(caller).empty());
+  f.Respond(repeat, ForwarderFixture::WholeResponse(200, "r1", "mine"));
+  CHECK(Contains(f.transport.TakeSent(caller), "mine"));
+}
+
+// Guards against the same after a caller's own repeat under one id.
+TEST_CASE("a caller's repeat under the same id gets a connection of its own",
+          "[gateway]") {
+  KeptConnection k;
+  k.f.Respond(k.Send("POST", "/once/x"),
+              ForwarderFixture::WholeResponse(200, "r1", "one"));
+  ConnectionId again = k.f.Request("POST", "/once/x", "r1", "", "b");
+  Arrival repeat = k.f.NextArrival();
+  CHECK(repeat.connection != k.kept);
+  k.f.Respond(repeat, ForwarderFixture::WholeResponse(200, "r1", "two"));
+  CHECK(Contains(k.f.transport.TakeSent(again), "two"));
+  // Other requests still use the connection.
+  CHECK(k.f.transport.IsOpen(k.kept));
+}
+
+// Guards against memory that grows with the age of a connection.
+TEST_CASE("a connection ends after a bounded number of requests",
+          "[gateway]") {
+  ForwarderFixture f(1);
+  constexpr int kMaxRequests = 1024;
+  std::set<std::uint64_t> connections;
+  for (int i = 0; i <= kMaxRequests; ++i) {
+    std::string id = fmt::format("r{}", i);
+    f.Request("POST", "/once/x", id, "", "b");
+    Arrival arrival = f.NextArrival();
+    connections.insert(static_cast<std::uint64_t>(arrival.connection));
+    f.Respond(arrival, ForwarderFixture::WholeResponse(200, id, "mine"));
+  }
+  CHECK(connections.size() == 2);
+}
+
 // Guards against sending a request on a connection on which bytes have arrived
 // that have not been read yet.
 TEST_CASE("a connection with unread bytes is not used again", "[gateway]") {
