Bound the memory of requests, and refuse what exceeds it

Nothing bounded the memory of requests, and a body was held up to three times, in buffers that kept their capacity.

RequestMemory bounds the sum over all connections by the new setting memory_mb. What exceeds it gets 503 as not run, before its body is read where the length is announced.

Ruled out: answers (bounded before, 64 MB).

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -19,6 +19,16 @@
 constexpr std::size_t kMaxPendingBytes = std::size_t{256} * 1024;
 // A body counts as still arriving if it grows by this much in the idle timeout.
 constexpr std::size_t kMinBodyProgressBytes = 512;
+// Larger buffers of a connection are freed when they are empty.
+constexpr std::size_t kKeptBufferBytes = 4096;
+// Memory of a request besides its head and body.
+constexpr std::size_t kRequestOverheadBytes = 4096;
+// Copies of a head: as it arrived, and as it is sent to an endpoint.
+constexpr std::size_t kHeadCopies = 2;
+// A response from one piece is sent together with its head up to this size.
+constexpr std::size_t kMaxJoinedBytes = std::size_t{16} * 1024;
+// Retry-After of a request that is refused for want of memory.
+constexpr std::string_view kMemoryRetryAfterSeconds = "1";
 // How long the first request of a new connection is waited for when idle
 // connections are closed.
 constexpr milliseconds kFirstRequestWait{500};
@@ -41,6 +51,16 @@
   return CallerCloseReason::kCallerReset;
 }
 
+// Unlike an assignment, which keeps the capacity.
+void Free(std::string* text) {
+  std::string().swap(*text);
+}
+
+bool ExpectsContinue(const HttpRequestHead& head) {
+  const std::string* expect = head.headers.Find("Expect");
+  return expect != nullptr && EqualsIgnoringCase(*expect, "100-continue");
+}
+
 }  // namespace
 
 std::string_view CallerCloseReasonName(CallerCloseReason reason) {
@@ -95,8 +115,9 @@
   connection->overflowed =
       connection->overflowed ||
       (connection->in_request &&
-       connection->pending.size() + data.size() >
-           kMaxPendingBytes + connection->limits.max_body_bytes);
+       (connection->pending.size() + data.size() >
+            kMaxPendingBytes + connection->limits.max_body_bytes ||
+        !HoldMemory(id, *connection, data.size())));
   if (!connection->overflowed) {
     connection->pending.append(data);
   }
@@ -142,12 +163,11 @@
          ParseRequest(id, connection)) {
     HttpRequestHead head = connection->parser.request();
     std::string body = std::move(connection->body);
-    connection->body.clear();
     connection->keep_alive = connection->parser.keep_alive();
     connection->accepts_chunks = connection->parser.accepts_chunks();
-    connection->continue_sent = false;
-    connection->parsed_bytes = 0;
-    connection->parser.Reset();
+    connection->request_memory =
+        ArrivingMemory(*connection) + body.capacity();
+    ResetRequest(connection);
     connection->in_request = true;
     transport_->Cancel(connection->timer);
     handler_->OnRequest(id, std::move(head), std::move(body));
@@ -157,15 +177,35 @@
   connection = Find(id);
   if (connection != nullptr) {
     connection->parsing = false;
+    if (connection->pending.empty() &&
+        connection->pending.capacity() > kKeptBufferBytes) {
+      Free(&connection->pending);
+    }
   }
 }
 
+void CallerServer::ResetRequest(Connection* connection) {
+  connection->parser.Reset();
+  Free(&connection->body);
+  connection->body_bytes = 0;
+  connection->parsed_bytes = 0;
+  connection->admitted = false;
+  connection->discarding = false;
+  connection->continue_sent = false;
+}
+
 bool CallerServer::ParseRequest(ConnectionId id, Connection* connection) {
   HttpMessageParser& parser = connection->parser;
   bool was_started = parser.started();
   std::size_t consumed = parser.Feed(connection->pending);
   connection->pending.erase(0, consumed);
   connection->parsed_bytes += consumed;
+  if (connection->discarding && parser.error() != HttpParseError::kNone) {
+    // The request has had its response.
+    Remove(id, CallerCloseReason::kRejected);
+    transport_->CloseLingering(id);
+    return false;
+  }
   switch (parser.error()) {
     case HttpParseError::kMalformed:
       Reject(id, 400, "malformed request");
@@ -179,7 +219,11 @@
     case HttpParseError::kNone:
       break;
   }
-  connection->body += parser.TakeBody();
+  if (!ReceiveBody(id, connection)) {
+    connection = Find(id);
+    return connection != nullptr && !connection->pending.empty() &&
+           ParseRequest(id, connection);
+  }
   if (parser.complete()) {
     return true;
   }
@@ -197,11 +241,102 @@
   return false;
 }
 
+bool CallerServer::ReceiveBody(ConnectionId id, Connection* connection) {
+  HttpMessageParser& parser = connection->parser;
+  std::string received = parser.TakeBody();
+  connection->body_bytes += received.size();
+  if (!connection->discarding) {
+    if (parser.head_complete() && !connection->admitted) {
+      connection->admitted =
+          HoldMemory(id, *connection, parser.announced_bytes());
+      if (connection->admitted) {
+        connection->body.reserve(parser.announced_bytes());
+      }
+    }
+    if (connection->admitted || !parser.head_complete()) {
+      connection->body += received;
+      if (HoldMemory(id, *connection)) {
+        return true;
+      }
+    }
+    RefuseForMemory(id, connection);
+    connection = Find(id);
+  }
+  if (connection != nullptr && parser.complete()) {
+    ResetRequest(connection);
+    HoldMemory(id, *connection);
+    connection->idle_since = transport_->Now();
+    ArmIdleTimer(id, connection);
+  }
+  return false;
+}
+
+std::size_t CallerServer::ArrivingMemory(const Connection& connection) {
+  return connection.parser.started()
+             ? kRequestOverheadBytes +
+                   kHeadCopies * connection.parser.head_memory()
+             : 0;
+}
+
+std::size_t CallerServer::MemoryOf(const Connection& connection) {
+  std::size_t bytes = connection.request_memory + ArrivingMemory(connection) +
+                      connection.body.capacity() + connection.pending.size();
+  // What a connection holds without a request is not worth counting.
+  return bytes < kKeptBufferBytes ? 0 : bytes;
+}
+
+bool CallerServer::HoldMemory(ConnectionId id,
+                              const Connection& connection,
+                              std::size_t more_bytes) {
+  return memory_ == nullptr ||
+         memory_->TryHold(Number(id), MemoryOf(connection) + more_bytes);
+}
+
+void CallerServer::RefuseForMemory(ConnectionId id, Connection* connection) {
+  const HttpMessageParser& parser = connection->parser;
+  Free(&connection->body);
+  if (!parser.head_complete()) {
+    Reject(id, 503, "no memory for the head");
+    return;
+  }
+  handler_->OnRejected(
+      503, fmt::format("no memory for the request: {} bytes announced, {} of "
+                       "{} held",
+                       parser.announced_bytes(), memory_->total(),
+                       memory_->max_bytes()));
+  CallerError error;
+  error.http_status = 503;
+  error.code = "no_memory";
+  error.message = std::string(ReasonPhrase(error.http_status));
+  error.run = RunState::kNotRun;
+  std::string body = CallerErrorBody(error);
+  HttpResponseHead head{503, error.message, {}};
+  head.headers.Add("Content-Type", "application/json");
+  head.headers.Add("Retry-After", std::string(kMemoryRetryAfterSeconds));
+  head.headers.Add("Content-Length", fmt::format("{}", body.size()));
+  // A caller that waits to be told to go on sends no body now.
+  bool awaits_continue = !parser.complete() && !connection->continue_sent &&
+                         ExpectsContinue(parser.request());
+  bool ends = closing_ || !parser.keep_alive() || awaits_continue;
+  if (ends) {
+    head.headers.Add("Connection", "close");
+  }
+  transport_->Send(id, SerializeResponseHead(head) + body);
+  if (ends) {
+    Remove(id, CallerCloseReason::kRejected);
+    transport_->CloseLingering(id);
+    return;
+  }
+  connection->discarding = true;
+  HoldMemory(id, *connection);
+  if (!parser.complete()) {
+    ArmBodyTimer(id, connection);
+  }
+}
+
 void CallerServer::SendContinue(ConnectionId id, Connection* connection) {
   connection->continue_sent = true;
-  const std::string* expect =
-      connection->parser.request().headers.Find("Expect");
-  if (expect != nullptr && EqualsIgnoringCase(*expect, "100-continue")) {
+  if (ExpectsContinue(connection->parser.request())) {
     transport_->Send(id, "HTTP/1.1 100 Continue\r\n\r\n");
   }
 }
@@ -225,6 +360,9 @@
       connection.parsed_bytes + connection.pending.size();
   transport_->Cancel(connection.timer);
   connections_.erase(found);
+  if (memory_ != nullptr) {
+    memory_->Release(Number(id));
+  }
   handler_->OnConnectionClosed(reason, unanswered_bytes);
 }
 
@@ -237,7 +375,7 @@
 
 void CallerServer::Respond(ConnectionId id,
                            HttpResponseHead head,
-                           std::string_view body) {
+                           std::string body) {
   Connection* connection = Find(id);
   if (connection == nullptr || !connection->in_request) {
     return;
@@ -248,8 +386,15 @@
   }
   AddConnectionField(*connection, &head);
   std::string message = SerializeResponseHead(head);
-  message.append(has_no_body ? std::string_view() : body);
+  bool joined = !has_no_body && body.size() <= kMaxJoinedBytes;
+  if (joined) {
+    message += body;
+  }
   transport_->Send(id, message);
+  if (!has_no_body && !joined) {
+    transport_->SendShared(id,
+                           std::make_shared<const std::string>(std::move(body)));
+  }
   FinishResponse(id, connection);
 }
 
@@ -303,6 +448,8 @@
 void CallerServer::FinishResponse(ConnectionId id, Connection* connection) {
   connection->in_request = false;
   connection->streaming = false;
+  connection->request_memory = 0;
+  HoldMemory(id, *connection);
   if (closing_ || !connection->keep_alive) {
     Remove(id, CallerCloseReason::kAnnounced);
     transport_->CloseLingering(id);
@@ -362,7 +509,7 @@
 
 void CallerServer::ArmBodyTimer(ConnectionId id, Connection* connection) {
   transport_->Cancel(connection->timer);
-  connection->body_bytes_at_timer = connection->body.size();
+  connection->body_bytes_at_timer = connection->body_bytes;
   connection->timer =
       transport_->After(limits_.idle_timeout, [this, id] { OnBodyTimer(id); });
 }
@@ -372,9 +519,12 @@
   if (connection == nullptr || !connection->parser.started()) {
     return;
   }
-  if (connection->body.size() - connection->body_bytes_at_timer >=
+  if (connection->body_bytes - connection->body_bytes_at_timer >=
       kMinBodyProgressBytes) {
     ArmBodyTimer(id, connection);
+  } else if (connection->discarding) {
+    Remove(id, CallerCloseReason::kRejected);
+    transport_->CloseLingering(id);
   } else {
     Reject(id, 408, "body timeout");
   }
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "src/common/common.h"
 #include "src/fleet/fleet_documents.h"
 #include "src/http1/http1.h"
 #include "src/net/net.h"
@@ -57,6 +58,10 @@
   CallerServer(Transport* transport, HttpRequestHandler* handler);
 
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
+  // Requests beyond this memory are refused as not run, before their bodies are
+  // read where their lengths are announced. Several servers may share it. No
+  // bound by default.
+  void SetRequestMemory(RequestMemory* memory) { memory_ = memory; }
   // Closes each connection after its next response.
   void BeginClosing() { closing_ = true; }
   // Closes connections that have no request in progress, except those whose
@@ -69,7 +74,7 @@
   // Adds the framing header fields; `head` must not contain any.
   void Respond(ConnectionId caller,
                HttpResponseHead head,
-               std::string_view body);
+               std::string body);
   void BeginStream(ConnectionId caller, HttpResponseHead head);
   void SendStream(ConnectionId caller, std::string_view data);
   void EndStream(ConnectionId caller);
@@ -100,6 +105,12 @@
     std::size_t parsed_bytes = 0;
     // The handler has a request whose response is not complete.
     bool in_request = false;
+    // There is memory for the arriving request as far as it is known.
+    bool admitted = false;
+    // The arriving request has been refused; the rest of its body is discarded.
+    bool discarding = false;
+    // Memory of the request in progress, which the handler has.
+    std::size_t request_memory = 0;
     bool continue_sent = false;
     bool keep_alive = true;
     bool streaming = false;
@@ -113,7 +124,8 @@
     TimePoint idle_since{};
     // First byte of the arriving request.
     TimePoint request_started_at{};
-    // Size of `body` when the timer was started.
+    // Bytes of the arriving body, and their number when the timer was started.
+    std::size_t body_bytes = 0;
     std::size_t body_bytes_at_timer = 0;
     TimerId timer{};
   };
@@ -128,7 +140,22 @@
   void Process(ConnectionId id);
   // Returns true if a complete request is ready for the handler.
   bool ParseRequest(ConnectionId id, Connection* connection);
+  // Takes what the parser has of a body. Returns false if the request has been
+  // refused.
+  bool ReceiveBody(ConnectionId id, Connection* connection);
+  void ResetRequest(Connection* connection);
   void SendContinue(ConnectionId id, Connection* connection);
+  // Memory of the arriving request without its body, and of all that the
+  // connection holds.
+  static std::size_t ArrivingMemory(const Connection& connection);
+  static std::size_t MemoryOf(const Connection& connection);
+  // Whether there is memory for what the connection holds and for more bytes.
+  bool HoldMemory(ConnectionId id,
+                  const Connection& connection,
+                  std::size_t more_bytes = 0);
+  // Refuses the arriving request for want of memory. The connection stays open
+  // if the rest of the body can be told from the next request.
+  void RefuseForMemory(ConnectionId id, Connection* connection);
   void Reject(ConnectionId id, int status, std::string_view reason);
   void FinishResponse(ConnectionId id, Connection* connection);
   // Forgets the connection and reports why it ended.
@@ -151,6 +178,7 @@
   Transport* const transport_;
   HttpRequestHandler* const handler_;
   CallerLimits limits_;
+  RequestMemory* memory_ = nullptr;
   bool closing_ = false;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
 };
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -51,7 +51,8 @@
 struct Exchange {
   ConnectionId caller{};
   HttpRequestHead head;
-  std::string body;
+  // Shared with the attempts that send it.
+  std::shared_ptr<const std::string> body;
   RequestMetadata metadata;
   // Keeps `route` alive while the configuration changes.
   std::shared_ptr<const FleetConfiguration> configuration;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -124,7 +124,7 @@
   exchange = Exchange();
   exchange.caller = caller;
   exchange.head = std::move(head);
-  exchange.body = std::move(body);
+  exchange.body = std::make_shared<const std::string>(std::move(body));
   exchange.arrived_at = transport_->Now();
   exchange.configuration = view_.configuration();
   std::vector<Finding> findings;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -118,8 +118,8 @@
   DispatchChoice SelectEndpoint(const Exchange& exchange);
   VersionRule RuleFor(const Exchange& exchange) const;
   void StartAttempt(Exchange* exchange, const RoutedEndpoint& endpoint);
-  std::string EncodeAttempt(const Exchange& exchange,
-                            const RoutedEndpoint& endpoint) const;
+  std::string EncodeAttemptHead(const Exchange& exchange,
+                                const RoutedEndpoint& endpoint) const;
   void WaitForEndpoint(Exchange* exchange, const DispatchChoice& choice);
   void EndAttempt(Exchange* exchange, AttemptResult result);
   // Cancels the attempt and retries at another endpoint if that is allowed.
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -330,7 +330,7 @@
   int status = head.status;
   ConnectionId caller = exchange->caller;
   Finish(exchange, status, "answered");
-  server_->Respond(caller, std::move(head), body);
+  server_->Respond(caller, std::move(head), std::move(body));
 }
 
 void Forwarder::CompleteStream(Exchange* exchange) {
@@ -425,7 +425,7 @@
     std::string body = std::move(exchange->failure_body);
     ConnectionId caller = exchange->caller;
     Finish(exchange, head.status, "endpoint_failed");
-    server_->Respond(caller, std::move(head), body);
+    server_->Respond(caller, std::move(head), std::move(body));
     return;
   }
   bool may_have_run = exchange->runs > 0;
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -195,8 +195,8 @@
   milliseconds max_idle =
       exchange->route->repeatable() ? kMaxIdle : kMaxIdleUnrepeatable;
   attempt.call =
-      client_.Start({endpoint.address, EncodeAttempt(*exchange, endpoint),
-                     max_idle, exchange->metadata.request_id},
+      client_.Start({endpoint.address, EncodeAttemptHead(*exchange, endpoint),
+                     exchange->body, max_idle, exchange->metadata.request_id},
                     this);
   callers_by_call_[static_cast<std::uint64_t>(attempt.call)] = exchange->caller;
   exchange->attempt = std::move(attempt);
@@ -209,7 +209,7 @@
   ++exchange->sends;
 }
 
-std::string Forwarder::EncodeAttempt(const Exchange& exchange,
+std::string Forwarder::EncodeAttemptHead(const Exchange& exchange,
                                      const RoutedEndpoint& endpoint) const {
   EndpointFields fields;
   fields.time_left = std::max(
@@ -226,12 +226,12 @@
   head.method = exchange.head.method;
   head.target = exchange.head.target;
   head.headers = codec_.EncodeForEndpoint(exchange.head.headers, fields);
-  bool has_length = !exchange.body.empty() || head.method == "POST" ||
+  bool has_length = !exchange.body->empty() || head.method == "POST" ||
                     head.method == "PUT" || head.method == "PATCH";
   if (has_length) {
-    head.headers.Add("Content-Length", fmt::format("{}", exchange.body.size()));
+    head.headers.Add("Content-Length", fmt::format("{}", exchange.body->size()));
   }
-  return SerializeRequestHead(head) + exchange.body;
+  return SerializeRequestHead(head);
 }
 
 void Forwarder::EndAttempt(Exchange* exchange, AttemptResult result) {
--- a/src/gateway/forwarder_crashes.cc
+++ b/src/gateway/forwarder_crashes.cc
@@ -22,7 +22,7 @@
   std::uint64_t hash = 0;
   for (const std::string* field :
        {&exchange.account.value(), &exchange.head.method, &exchange.head.target,
-        &exchange.body}) {
+        exchange.body.get()}) {
     hash = XXH64(field->data(), field->size(), hash);
   }
   std::vector<std::string> shared;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -37,7 +37,6 @@
 // The process exits this long before it would be killed.
 constexpr milliseconds kShutdownMargin{500};
 constexpr std::size_t kBytesPerKilobyte = 1024;
-constexpr std::size_t kBytesPerMegabyte = kBytesPerKilobyte * 1024;
 
 milliseconds Seconds(double seconds) {
   return milliseconds(static_cast<std::int64_t>(seconds * 1000));
@@ -52,8 +51,7 @@
   forwarder_limits.repeats.ratio = settings.repeat_ratio;
   forwarder_limits.repeats.window = Seconds(settings.repeat_window_s);
   forwarder_limits.repeats.allowance = settings.repeat_allowance;
-  forwarder_limits.max_buffered_bytes =
-      settings.response_buffer_mb * kBytesPerMegabyte;
+  forwarder_limits.max_buffered_bytes = ShareMemory(settings).response_bytes;
   forwarder_limits.max_event_bytes =
       settings.event_buffer_kb * kBytesPerKilobyte;
   forwarder_limits.max_endpoint_pause = settings.endpoint_retry_after_limit;
@@ -69,7 +67,7 @@
                                           std::string /*body*/) {
   int status = gateway_.IsReady() ? 200 : 503;
   server_->Respond(caller, {status, std::string(ReasonPhrase(status)), {}},
-                   std::string_view());
+                   std::string());
 }
 
 void Gateway::ReadinessHandler::OnCallerDisconnected(ConnectionId /*caller*/,
@@ -98,6 +96,7 @@
                  settings.data_centre,
                  LimitsFrom(settings),
                  settings.connect_timeout),
+      request_memory_(ShareMemory(settings).request_bytes),
       caller_server_(transport, &forwarder_),
       readiness_handler_(*this),
       readiness_server_(transport, &readiness_handler_),
@@ -145,6 +144,10 @@
   forwarder_.quarantine().SetTrialTurn(
       [this](const CauseId& cause) { return TrialTurnOf(cause); });
   forwarder_.SetServer(&caller_server_);
+  for (CallerServer* server :
+       {&caller_server_, &readiness_server_, &peer_server_}) {
+    server->SetRequestMemory(&request_memory_);
+  }
   readiness_handler_.SetServer(&readiness_server_);
   peer_service_.SetServer(&peer_server_);
 }
@@ -317,6 +320,7 @@
 void Gateway::UpdateMetrics(TimePoint now) {
   metrics_->SetBlockedCauses(forwarder_.quarantine().blocks().size());
   metrics_->SetEndpoints(view_.endpoints().size());
+  metrics_->SetRequestMemory(request_memory_.total());
   metrics_->SetInstances(static_cast<std::size_t>(instance_count_));
   for (int i = 0; i < kStoreTableCount; ++i) {
     auto table = static_cast<StoreTable>(i);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -97,6 +97,7 @@
   const std::uint64_t incarnation_;
   FleetView view_;
   Forwarder forwarder_;
+  RequestMemory request_memory_;
   CallerServer caller_server_;
   ReadinessHandler readiness_handler_;
   CallerServer readiness_server_;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -95,6 +95,9 @@
         instances(GaugeFamily(registry,
                               "filbertshift_live_instances",
                               "Instances that share limits.")),
+        request_memory(GaugeFamily(registry,
+                                   "filbertshift_request_memory_bytes",
+                                   "Memory of callers' requests.")),
         blocked_causes(GaugeFamily(
             registry,
             "filbertshift_blocked_crash_causes",
@@ -118,6 +121,7 @@
   prometheus::Family<prometheus::Gauge>& in_progress;
   prometheus::Family<prometheus::Gauge>& endpoints;
   prometheus::Family<prometheus::Gauge>& instances;
+  prometheus::Family<prometheus::Gauge>& request_memory;
   prometheus::Family<prometheus::Gauge>& blocked_causes;
   prometheus::Family<prometheus::Gauge>& table_age;
 };
@@ -194,6 +198,10 @@
   families_->instances.Add({}).Set(static_cast<double>(instances));
 }
 
+void GatewayMetrics::SetRequestMemory(std::size_t bytes) {
+  families_->request_memory.Add({}).Set(static_cast<double>(bytes));
+}
+
 void GatewayMetrics::SetBlockedCauses(std::size_t causes) {
   families_->blocked_causes.Add({}).Set(static_cast<double>(causes));
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -36,6 +36,8 @@
   void SetInProgress(std::size_t exchanges);
   void SetEndpoints(std::size_t endpoints);
   void SetInstances(std::size_t instances);
+  // Memory of callers' requests.
+  void SetRequestMemory(std::size_t bytes);
   // Prompt parts and requests that are blocked because they crash endpoints.
   void SetBlockedCauses(std::size_t causes);
   // Time since this instance's copy of a store table was confirmed current.
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -1,5 +1,6 @@
 #include "src/gateway/gateway_settings.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "src/config/field_types.h"
@@ -19,6 +20,11 @@
 constexpr double kMaxMilliseconds = 3600000;
 constexpr double kMaxSeconds = 3600;
 constexpr double kMaxCount = 1000000;
+constexpr std::size_t kBytesPerMegabyte = std::size_t{1024} * 1024;
+// Percentage of the memory that requests and responses may take up, and the
+// divisor of that for each of the two kinds of response bytes.
+constexpr std::size_t kMessagePercent = 60;
+constexpr std::size_t kResponseDivisor = 4;
 
 FieldTable<S> GatewayIdentityFields() {
   return {
@@ -103,6 +109,10 @@
                     &S::rollout_heartbeat_interval, kOptional,
                     {milliseconds(100), minutes(1)},
                     "heartbeat_interval during a rollout."),
+      IntegerField("memory_mb", &S::memory_mb, kOptional,
+                   ValueRange<std::size_t>{32, 1048576}, "MB",
+                   "Memory of the process. Three fifths of it are for requests "
+                   "and responses; requests beyond that are refused with 503."),
       IntegerField("response_buffer_mb", &S::response_buffer_mb, kOptional,
                    ValueRange<std::size_t>{1, 65536}, "MB",
                    "Memory for all responses that are held until their rest "
@@ -146,6 +156,15 @@
       static_cast<std::int64_t>(settings.configuration_apply_ms * fraction));
 }
 
+MemoryShares ShareMemory(const GatewaySettings& settings) {
+  std::size_t bytes = settings.memory_mb * kBytesPerMegabyte;
+  std::size_t messages = bytes * kMessagePercent / 100;
+  std::size_t responses =
+      std::min(settings.response_buffer_mb * kBytesPerMegabyte,
+               messages / kResponseDivisor);
+  return {messages - 2 * responses, responses, responses};
+}
+
 std::vector<FieldDescription> DescribeGatewaySettings() {
   return DescribeFields(GatewayFields());
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -55,6 +55,8 @@
   std::chrono::milliseconds heartbeat_interval{3000};
   std::chrono::milliseconds rollout_instance_poll_interval{500};
   std::chrono::milliseconds rollout_heartbeat_interval{1000};
+  // Memory of the process; beyond it, the platform ends it.
+  std::size_t memory_mb = 512;
   // Bytes of responses held for their rest or for slow callers, in all, and of
   // one incomplete event of a stream.
   std::size_t response_buffer_mb = 64;
@@ -69,6 +71,17 @@
 std::chrono::milliseconds ApplyTimeFraction(const GatewaySettings& settings,
                                             double fraction);
 
+// How the memory of the process is divided. What is left over is for the
+// program, its tables and the allocator.
+struct MemoryShares {
+  // Callers' requests, from their first byte to the end of their responses.
+  std::size_t request_bytes = 0;
+  // Responses held for their rest, and those that callers have yet to read.
+  std::size_t response_bytes = 0;
+  std::size_t unsent_bytes = 0;
+};
+MemoryShares ShareMemory(const GatewaySettings& settings);
+
 std::vector<FieldDescription> DescribeGatewaySettings();
 
 // Throws FindingsError that lists all errors.
--- a/src/gateway/http_client.cc
+++ b/src/gateway/http_client.cc
@@ -117,8 +117,9 @@
                          std::string message,
                          milliseconds max_idle,
                          CallListener* listener) {
-  return Start({address, std::move(message), max_idle, std::string()},
-               listener);
+  return Start(
+      {address, std::move(message), nullptr, max_idle, std::string()},
+      listener);
 }
 
 CallId HttpClient::Start(HttpCall request, CallListener* listener) {
@@ -149,14 +150,22 @@
   ++connection->requests;
   connection->parser.Reset();
   calls_[Number(call)] = id;
+  connection->message = std::move(request.message);
+  connection->body = std::move(request.body);
   if (connection->connected) {
-    transport_->Send(id, request.message);
-  } else {
-    connection->message = std::move(request.message);
+    SendRequest(id, connection);
   }
   return call;
 }
 
+void HttpClient::SendRequest(ConnectionId id, Connection* connection) {
+  transport_->Send(id, std::exchange(connection->message, std::string()));
+  std::shared_ptr<const std::string> body = std::move(connection->body);
+  if (body != nullptr) {
+    transport_->SendShared(id, std::move(body));
+  }
+}
+
 bool HttpClient::IsSent(CallId call) const {
   auto found = calls_.find(Number(call));
   return found != calls_.end() &&
@@ -206,7 +215,7 @@
   Connection* connection = Find(id);
   if (connection != nullptr) {
     connection->connected = true;
-    transport_->Send(id, std::exchange(connection->message, std::string()));
+    SendRequest(id, connection);
   }
 }
 
--- a/src/gateway/http_client.h
+++ b/src/gateway/http_client.h
@@ -52,7 +52,10 @@
 struct HttpCall {
   // "ip:port".
   std::string address;
+  // The head, and the body unless it is shared.
   std::string message;
+  // Sent after `message` without being copied; may be null.
+  std::shared_ptr<const std::string> body;
   // An open connection is reused if it has been idle for at most this long.
   std::chrono::milliseconds max_idle{0};
   // Id that the peer repeats in its response; empty if it does not. A
@@ -95,8 +98,9 @@
     explicit Connection(HttpParseLimits limits);
     std::string address;
     HttpMessageParser parser;
-    // Request to send once connected.
+    // Request to send once connected; `body` may be null.
     std::string message;
+    std::shared_ptr<const std::string> body;
     bool connected = false;
     // The listener has received the head of the current response.
     bool head_reported = false;
@@ -128,6 +132,8 @@
   bool IsUsable(ConnectionId id,
                 const Connection& connection,
                 std::chrono::milliseconds max_idle);
+  // Sends the message and body of the connection.
+  void SendRequest(ConnectionId id, Connection* connection);
   void Parse(ConnectionId id, std::string_view data);
   // Prepares for the next response after an interim or a foreign one. Returns
   // false if the call has failed.
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -153,7 +153,7 @@
   } else {
     response = {404, "Not Found", {}};
   }
-  server_->Respond(caller, std::move(response), body);
+  server_->Respond(caller, std::move(response), std::move(body));
 }
 
 void PeerService::MergeCrashEvidence(const std::string& message) {
--- a/src/http1/http_parser_adapter.cc
+++ b/src/http1/http_parser_adapter.cc
@@ -43,6 +43,7 @@
   response_ = HttpResponseHead();
   body_.clear();
   head_bytes_ = 0;
+  announced_bytes_ = 0;
   body_bytes_ = 0;
   error_ = HttpParseError::kNone;
   in_value_ = false;
@@ -81,6 +82,18 @@
   return std::exchange(body_, std::string());
 }
 
+std::size_t HttpMessageParser::announced_bytes() const {
+  return head_complete_ && (parser_.flags & F_CONTENTLENGTH) != 0
+             ? announced_bytes_
+             : 0;
+}
+
+std::size_t HttpMessageParser::head_memory() const {
+  const HttpHeaders& fields =
+      kind_ == Kind::kRequest ? request_.headers : response_.headers;
+  return head_bytes_ + fields.fields().capacity() * sizeof(HeaderField);
+}
+
 HttpHeaders& HttpMessageParser::headers() {
   return kind_ == Kind::kRequest ? request_.headers : response_.headers;
 }
@@ -192,6 +205,7 @@
                        parser->status_code == 304 || self->interim();
   self->keep_alive_ = http_should_keep_alive(parser) != 0;
   self->head_complete_ = true;
+  self->announced_bytes_ = static_cast<std::size_t>(parser->content_length);
   bool too_large = (parser->flags & F_CONTENTLENGTH) != 0 &&
                    parser->content_length > self->limits_.max_body_bytes;
   if (too_large) {
--- a/src/http1/http_parser_adapter.h
+++ b/src/http1/http_parser_adapter.h
@@ -64,6 +64,10 @@
   bool interim() const {
     return kind_ == Kind::kResponse && response_.status / 100 == 1;
   }
+  // Length of the body that the head announces; 0 if it announces none.
+  std::size_t announced_bytes() const;
+  // Memory of the head so far.
+  std::size_t head_memory() const;
   const HttpRequestHead& request() const { return request_; }
   const HttpResponseHead& response() const { return response_; }
   // Returns the body bytes received since the last call.
@@ -91,6 +95,8 @@
   HttpResponseHead response_;
   std::string body_;
   std::size_t head_bytes_ = 0;
+  // Valid if the message has a Content-Length.
+  std::size_t announced_bytes_ = 0;
   std::size_t body_bytes_ = 0;
   HttpParseError error_ = HttpParseError::kNone;
   // True while the latest callback was for a field value.
--- a/src/net/tcp_loop.cc
+++ b/src/net/tcp_loop.cc
@@ -324,47 +324,106 @@
 
 void TcpLoop::Send(ConnectionId id, std::string_view data) {
   Connection* connection = Find(id);
-  if (connection == nullptr || connection->closing) {
+  if (connection == nullptr || connection->closing || connection->broken) {
     return;
   }
-  connection->unsent.append(data);
-  if (connection->connected && !connection->waiting_to_write) {
-    Flush(id);
+  if (connection->connected && connection->unsent.empty()) {
+    Write(id, connection, &data);
   }
+  connection->unsent.Append(data);
+  UpdateHeldBytes(connection);
+  KeepSendLimit();
 }
 
-void TcpLoop::Flush(ConnectionId id) {
+void TcpLoop::SendShared(ConnectionId id,
+                         std::shared_ptr<const std::string> data) {
   Connection* connection = Find(id);
-  if (connection == nullptr || !connection->connected) {
+  if (connection == nullptr || connection->closing || connection->broken) {
     return;
   }
-  while (connection->unsent_offset < connection->unsent.size()) {
+  connection->unsent.Append(std::move(data));
+  UpdateHeldBytes(connection);
+  if (!connection->waiting_to_write) {
+    Flush(id);
+  }
+  KeepSendLimit();
+}
+
+bool TcpLoop::Write(ConnectionId id,
+                    Connection* connection,
+                    std::string_view* data) {
+  while (!data->empty()) {
     error_code error;
     std::size_t size = connection->socket.write_some(
-        asio::buffer(connection->unsent.data() + connection->unsent_offset,
-                     connection->unsent.size() - connection->unsent_offset),
-        error);
-    connection->unsent_offset += size;
+        asio::buffer(data->data(), data->size()), error);
+    data->remove_prefix(size);
     connection->unacknowledged = true;
     if (error && WouldBlock(error)) {
       WaitToWrite(id);
-      return;
+      return true;
     }
     if (error) {
       // Deferred: a caller of Send may hold iterators that OnEnd invalidates.
       asio::post(context_, [this, id] { End(id, ConnectionEnd::kReset); });
+      return false;
+    }
+  }
+  return true;
+}
+
+void TcpLoop::Flush(ConnectionId id) {
+  Connection* connection = Find(id);
+  if (connection == nullptr || !connection->connected) {
+    return;
+  }
+  while (!connection->unsent.empty()) {
+    std::string_view front = connection->unsent.front();
+    std::string_view rest = front;
+    bool open = Write(id, connection, &rest);
+    connection->unsent.Remove(front.size() - rest.size());
+    UpdateHeldBytes(connection);
+    if (!open || !rest.empty()) {
       return;
     }
   }
-  connection->unsent.clear();
-  connection->unsent_offset = 0;
   if (connection->closing) {
     FinishClose(id);
   }
 }
 
+void TcpLoop::UpdateHeldBytes(Connection* connection) {
+  std::size_t bytes = connection->accepted || connection->closing
+                          ? connection->unsent.size()
+                          : 0;
+  held_bytes_ += bytes - connection->held_bytes;
+  connection->held_bytes = bytes;
+}
+
+void TcpLoop::KeepSendLimit() {
+  while (held_bytes_ > send_limit_) {
+    auto most = std::max_element(
+        connections_.begin(), connections_.end(),
+        [](const auto& a, const auto& b) {
+          return a.second->held_bytes < b.second->held_bytes;
+        });
+    ConnectionId id{most->first};
+    Connection* connection = most->second.get();
+    connection->unsent.Clear();
+    connection->broken = true;
+    UpdateHeldBytes(connection);
+    SetReset(connection);
+    asio::post(context_, [this, id] { End(id, ConnectionEnd::kReset); });
+  }
+}
+
+void TcpLoop::SetReset(Connection* connection) {
+  error_code ignored;  // The connection ends either way.
+  connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 void TcpLoop::BeginClose(ConnectionId id, Connection* connection) {
   connection->closing = true;
+  UpdateHeldBytes(connection);
   Cancel(connection->timer);
   connection->timer = After(kMaxFlushTime, [this, id] { Abort(id); });
 }
@@ -397,6 +456,7 @@
   if (connection.lingering) {
     --lingering_count_;
   }
+  held_bytes_ -= connection.held_bytes;
   Cancel(connection.timer);
   connections_.erase(found);
 }
@@ -430,7 +490,7 @@
   auto found = connections_.find(Number(id));
   return found == connections_.end()
              ? 0
-             : found->second->unsent.size() - found->second->unsent_offset;
+             : found->second->unsent.size();
 }
 
 void TcpLoop::Close(ConnectionId id) {
@@ -470,8 +530,7 @@
     return;
   }
   if (connection->connected) {
-    error_code ignored;  // The connection ends either way.
-    connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    SetReset(connection);
   }
   Remove(id);
 }
--- a/src/net/tcp_loop.h
+++ b/src/net/tcp_loop.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -15,6 +16,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/net/send_queue.h"
 #include "src/net/transport.h"
 
 namespace filbertshift {
@@ -28,6 +30,10 @@
   TcpLoop(const TcpLoop&) = delete;
   TcpLoop& operator=(const TcpLoop&) = delete;
 
+  // Limits the bytes that all peers of accepted connections, and of closed ones,
+  // have yet to read. Beyond it, the connection with the most is reset. No limit
+  // by default.
+  void SetSendLimit(std::size_t bytes) { send_limit_ = bytes; }
   // Accepts connections on "ip:port" until the loop ends. Throws
   // boost::system::system_error if the address cannot be bound.
   void Listen(const std::string& address, AcceptListener* listener);
@@ -42,6 +48,8 @@
                        std::chrono::milliseconds timeout,
                        ConnectionListener* listener) override;
   void Send(ConnectionId connection, std::string_view data) override;
+  void SendShared(ConnectionId connection,
+                  std::shared_ptr<const std::string> data) override;
   std::size_t UnsentBytes(ConnectionId connection) const override;
   bool HasUnreadData(ConnectionId connection) override;
   void Close(ConnectionId connection) override;
@@ -63,10 +71,11 @@
     explicit Connection(boost::asio::io_context& context) : socket(context) {}
     Socket socket;
     ConnectionListener* listener = nullptr;
-    // Buffered bytes; those before `unsent_offset` are already written to the
-    // socket.
-    std::string unsent;
-    std::size_t unsent_offset = 0;
+    SendQueue unsent;
+    // What `held_bytes_` contains of `unsent`.
+    std::size_t held_bytes = 0;
+    // Reset for exceeding the send limit; the listener is yet to be told.
+    bool broken = false;
     bool accepted = false;
     // Bytes were sent that the peer had not acknowledged at the latest check.
     bool unacknowledged = false;
@@ -109,6 +118,13 @@
   void ReadOnce(ConnectionId id);
   void WaitToWrite(ConnectionId id);
   void Flush(ConnectionId id);
+  // Writes until the socket accepts no more, and removes from `data` what was
+  // written. Returns false if the connection ends.
+  bool Write(ConnectionId id, Connection* connection, std::string_view* data);
+  void UpdateHeldBytes(Connection* connection);
+  void KeepSendLimit();
+  // The peer sees that what it has received is incomplete.
+  static void SetReset(Connection* connection);
   void End(ConnectionId id, ConnectionEnd end);
   // Ends a connection that is closing and whose bytes are all written.
   void FinishClose(ConnectionId id);
@@ -124,6 +140,9 @@
   std::function<void(int)> on_signal_;
   std::vector<std::unique_ptr<Listener>> listeners_;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+  std::size_t send_limit_ = std::numeric_limits<std::size_t>::max();
+  // Unsent bytes of accepted and of closing connections.
+  std::size_t held_bytes_ = 0;
   // Connections that wait for their peers to close.
   std::size_t lingering_count_ = 0;
   std::uint64_t last_id_ = 0;
--- a/src/net/transport.h
+++ b/src/net/transport.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -61,6 +62,11 @@
   // Buffers the bytes that the socket does not accept at once and sends them
   // later.
   virtual void Send(ConnectionId connection, std::string_view data) = 0;
+  // As Send, for bytes that need not be copied: they are kept until then.
+  virtual void SendShared(ConnectionId connection,
+                          std::shared_ptr<const std::string> data) {
+    Send(connection, *data);
+  }
   // Number of buffered bytes; 0 for a connection that has ended.
   virtual std::size_t UnsentBytes(ConnectionId connection) const = 0;
   // Whether bytes, or the end of the connection, have arrived that the listener
--- a/tests/unit/gateway/caller_server_test.cc
+++ b/tests/unit/gateway/caller_server_test.cc
@@ -277,6 +277,164 @@
   CHECK(f.handler.rejected == std::vector<int>{408});
 }
 
+// Ten megabytes, of which large requests leave a quarter.
+class MemoryFixture : public ServerFixture {
+ public:
+  MemoryFixture() : memory(std::size_t{10} * 1024 * 1024) {
+    server.SetRequestMemory(&memory);
+  }
+  // Fills the memory with requests in progress of a megabyte each.
+  void Fill() {
+    for (int i = 0; i < 20 && handler.rejected.empty(); ++i) {
+      running.push_back(Connect());
+      transport.Receive(running.back(), Post(1000000));
+    }
+    CHECK(handler.rejected == std::vector<int>{503});
+    running.pop_back();
+    handler.rejected.clear();
+  }
+
+  RequestMemory memory;
+  std::vector<ConnectionId> running;
+};
+
+std::string PostHead(std::size_t body_bytes, std::string_view more = "") {
+  return fmt::format(
+      "POST /x HTTP/1.1\r\nHost: h\r\n{}Content-Length: {}\r\n\r\n", more,
+      body_bytes);
+}
+
+// Guards against a process that is killed for the memory of request bodies.
+TEST_CASE("a request without memory is refused before its body is read",
+          "[gateway]") {
+  MemoryFixture f;
+  f.Fill();
+  CHECK(f.running.size() == 7);
+  ConnectionId caller = f.Connect();
+  f.transport.Receive(caller, PostHead(1000000));
+  std::string response = f.transport.TakeSent(caller);
+  CHECK(Contains(response, "HTTP/1.1 503"));
+  CHECK(Contains(response, "Retry-After: "));
+  CHECK(Contains(response, "\"not_run\""));
+  CHECK(f.handler.requests.size() == 7);
+  CHECK(f.memory.total() <= f.memory.max_bytes());
+  // The rest of the body is discarded, and the connection serves on.
+  std::size_t held = f.memory.total();
+  for (int i = 0; i < 10; ++i) {
+    f.transport.Receive(caller, std::string(100000, 'b'));
+    CHECK(f.memory.total() < held + 20000);
+  }
+  CHECK(f.transport.TakeSent(caller).empty());
+  f.transport.Receive(caller, kGet);
+  CHECK(f.handler.requests.size() == 8);
+  f.server.Respond(caller, Ok(), "ok");
+  CHECK(Contains(f.transport.TakeSent(caller), "200 OK"));
+}
+
+TEST_CASE("memory returns with the response or the caller's end",
+          "[gateway]") {
+  MemoryFixture f;
+  f.Fill();
+  f.server.Respond(f.running[0], Ok(), "ok");
+  f.transport.End(f.running[1], ConnectionEnd::kReset);
+  f.server.AbortResponse(f.running[2], CallerCloseReason::kBrokenOff);
+  for (int i = 0; i < 3; ++i) {
+    f.transport.Receive(f.Connect(), Post(1000000));
+  }
+  CHECK(f.handler.rejected.empty());
+  CHECK(f.handler.requests.size() == 10);
+}
+
+// Guards against a body that is sent in vain.
+TEST_CASE("a caller that asks before sending its body is refused at once",
+          "[gateway]") {
+  MemoryFixture f;
+  f.Fill();
+  ConnectionId caller = f.Connect();
+  f.transport.Receive(caller, PostHead(1000000, "Expect: 100-continue\r\n"));
+  std::string response = f.transport.TakeSent(caller);
+  CHECK(Contains(response, "HTTP/1.1 503"));
+  CHECK_FALSE(Contains(response, "100 Continue"));
+  CHECK(Contains(response, "Connection: close"));
+  CHECK_FALSE(f.transport.IsOpen(caller));
+}
+
+// Guards against bodies of unknown length.
+TEST_CASE("a chunked body is refused where the memory ends", "[gateway]") {
+  MemoryFixture f;
+  f.Fill();
+  ConnectionId caller = f.Connect();
+  f.transport.Receive(caller,
+                      "POST /x HTTP/1.1\r\nHost: h\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n");
+  CHECK(f.transport.TakeSent(caller).empty());
+  std::string response;
+  for (int i = 0; i < 40; ++i) {
+    f.transport.Receive(caller, SerializeChunk(std::string(50000, 'c')));
+    CHECK(f.memory.total() <= f.memory.max_bytes());
+    response += f.transport.TakeSent(caller);
+  }
+  f.transport.Receive(caller, kLastChunk);
+  response += f.transport.TakeSent(caller);
+  CHECK(Contains(response, "HTTP/1.1 503"));
+  CHECK(response.find("HTTP/1.1") == response.rfind("HTTP/1.1"));
+  CHECK(f.handler.requests.size() == 7);
+  CHECK(f.transport.IsOpen(caller));
+  f.transport.Receive(caller, kGet);
+  INFO(f.transport.TakeSent(caller));
+  CHECK(f.handler.requests.size() == 8);
+}
+
+// Guards against memory of bytes that wait behind a request.
+TEST_CASE("pipelined bytes count as memory", "[gateway]") {
+  MemoryFixture f;
+  std::vector<ConnectionId> callers;
+  for (int i = 0; i < 20; ++i) {
+    callers.push_back(f.Connect());
+    f.transport.Receive(callers.back(), kGet);
+    for (int part = 0; part < 10; ++part) {
+      f.transport.Receive(callers.back(), Post(100000));
+    }
+    CHECK(f.memory.total() <= f.memory.max_bytes());
+  }
+  CHECK(f.handler.requests.size() == 20);
+  // Requests that found no room are refused; the first ones are answered.
+  for (ConnectionId caller : callers) {
+    f.server.Respond(caller, Ok(), "ok");
+    CHECK(Contains(f.transport.TakeSent(caller), "200 OK"));
+  }
+}
+
+// Guards against many small requests that are refused beside large ones.
+TEST_CASE("small requests are served while large ones are refused",
+          "[gateway]") {
+  MemoryFixture f;
+  f.Fill();
+  for (int i = 0; i < 10; ++i) {
+    f.transport.Receive(f.Connect(), Post(72000));
+  }
+  CHECK(f.handler.rejected.empty());
+  CHECK(f.handler.requests.size() == 17);
+}
+
+// Guards against a second response to a refused request.
+TEST_CASE("a refused body that turns out malformed is not answered twice",
+          "[gateway]") {
+  MemoryFixture f;
+  f.Fill();
+  ConnectionId caller = f.Connect();
+  f.transport.Receive(caller,
+                      "POST /x HTTP/1.1\r\nHost: h\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n");
+  for (int i = 0; i < 40; ++i) {
+    f.transport.Receive(caller, SerializeChunk(std::string(50000, 'c')));
+  }
+  CHECK(Contains(f.transport.TakeSent(caller), "HTTP/1.1 503"));
+  f.transport.Receive(caller, "no chunk\r\n");
+  CHECK(f.transport.TakeSent(caller).empty());
+  CHECK_FALSE(f.transport.IsOpen(caller));
+}
+
 // Guards against chunk sizes in the middle of the body of an HTTP/1.0 caller.
 TEST_CASE("a stream to an HTTP/1.0 caller ends with its connection",
           "[gateway]") {
