Keep answers of low confidence that cannot be asked for again

The escalation did not ask whether the request may run again, nor whether an endpoint could take it for the larger model; it dropped the answer first.

MayReplaceAttempt is asked by silence and escalation alike. A request that may run once starts on the largest model, as its answer stays; the case of model_choice_test.cc on the first model names a route that may be repeated.

--- a/src/dispatch/model_choice.cc
+++ b/src/dispatch/model_choice.cc
@@ -65,7 +65,7 @@
 }
 
 ModelId FirstModel(const Route& route) {
-  return route.models.front();
+  return route.repeatable() ? route.models.front() : route.models.back();
 }
 
 std::optional<ModelId> SelectEscalationModel(
--- a/src/dispatch/model_choice.h
+++ b/src/dispatch/model_choice.h
@@ -47,7 +47,8 @@
   std::unordered_map<ServiceId, MovingAverage> estimates_;
 };
 
-// The model that a request starts on. `route.models` must not be empty.
+// The model that a request starts on: the smallest one if its response can be
+// replaced, otherwise the largest. `route.models` must not be empty.
 ModelId FirstModel(const Route& route);
 
 // A response whose first bytes have arrived.
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -130,6 +130,10 @@
                    std::string_view evidence = {});
   // Whether the request may be sent to one more endpoint.
   bool MayRepeat(const Exchange& exchange) const;
+  // Whether the attempt in progress, which may have run, may be given up for
+  // another one. Every decision that ends an attempt whose endpoint has not
+  // failed asks this first.
+  bool MayReplaceAttempt(const Exchange& exchange) const;
   void Repeat(Exchange* exchange, std::string_view reason);
   // Crashes of endpoints.
   CrashProfile CrashProfileOf(const Exchange& exchange) const;
@@ -148,8 +152,6 @@
   void SweepSilentAttempts();
   void ScheduleSweep();
   void UpdateWaits(TimePoint now);
-  // Whether the attempt may be given up for silence.
-  bool MayLeave(const Exchange& exchange) const;
   SilenceQuery SilenceOf(const Exchange& exchange) const;
   // When the endpoint of the attempt fell silent.
   TimePoint SilentSince(const EndpointAttempt& attempt) const;
@@ -188,6 +190,9 @@
   void RecordDelivery(Exchange* exchange);
   // Restarts the request on a larger model if the response's confidence is low.
   bool EscalateOnLowConfidence(Exchange* exchange);
+  // Makes the model that of the exchange if an endpoint can take the request
+  // with it now.
+  bool SwitchModel(Exchange* exchange, const ModelId& model);
   // Ends the request without a response from an endpoint. `cause` says why
   // nothing more is tried.
   void GiveUp(Exchange* exchange,
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -139,7 +139,7 @@
   if (exchange->response_started || route.models.empty() ||
       exchange->last_event_id.has_value() ||
       !attempt.response_metadata.confidence.has_value() ||
-      exchange->runs + 1 >= route.max_attempts ||
+      !MayReplaceAttempt(*exchange) || !MayRepeat(*exchange) ||
       exchange->deadline - now < kMinTimeToEscalate) {
     return false;
   }
@@ -153,24 +153,35 @@
             static_cast<double>(exchange->metadata.prompt_tokens) *
                 ModelWeight(*exchange, model));
       });
-  if (!larger.has_value() || !HasRoomForRepeat(exchange->service)) {
+  ModelId smaller = exchange->model;
+  if (!larger.has_value() || !HasRoomForRepeat(exchange->service) ||
+      !SwitchModel(exchange, *larger)) {
     return false;
   }
   log_->Write(
       EventId::kModelEscalated,
       {RequestId(exchange->metadata.request_id), {}, attempt.endpoint},
-      fmt::format("from={} to={} confidence={}", attempt.model.value(),
+      fmt::format("from={} to={} confidence={}", smaller.value(),
                   larger->value(), *attempt.response_metadata.confidence));
   metrics_->CountRepeat("escalation");
   ++exchange->runs;
-  exchange->model = *larger;
   EndAttempt(exchange, AttemptResult::kAnswered);
-  // The larger model may run on an endpoint that was already tried.
-  exchange->tried.clear();
   Dispatch(exchange->caller);
   return true;
 }
 
+bool Forwarder::SwitchModel(Exchange* exchange, const ModelId& model) {
+  ModelId current = std::exchange(exchange->model, model);
+  // The larger model may run on an endpoint that was already tried.
+  std::vector<EndpointId> tried = std::exchange(exchange->tried, {});
+  if (SelectEndpoint(*exchange).endpoint.has_value()) {
+    return true;
+  }
+  exchange->model = current;
+  exchange->tried = std::move(tried);
+  return false;
+}
+
 void Forwarder::OnBody(CallId call, std::string_view data) {
   Exchange* exchange = Find(call);
   const EndpointAttempt& attempt = *exchange->attempt;
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -269,6 +269,11 @@
          exchange.deadline - transport_->Now() >= kMinTimeLeft;
 }
 
+bool Forwarder::MayReplaceAttempt(const Exchange& exchange) const {
+  return exchange.attempt.has_value() && exchange.route->repeatable() &&
+         exchange.runs + 1 < exchange.route->max_attempts;
+}
+
 void Forwarder::Repeat(Exchange* exchange, std::string_view reason) {
   // What it holds may have been blocked since.
   exchange->admitted = false;
--- a/src/gateway/forwarder_silence.cc
+++ b/src/gateway/forwarder_silence.cc
@@ -54,11 +54,6 @@
   Repeat(exchange, reason);
 }
 
-bool Forwarder::MayLeave(const Exchange& exchange) const {
-  return exchange.attempt.has_value() && exchange.route->repeatable() &&
-         exchange.runs + 1 < exchange.route->max_attempts;
-}
-
 TimePoint Forwarder::SilentSince(const EndpointAttempt& attempt) const {
   EndpointSilence endpoint =
       pool_.SilenceOf(attempt.endpoint, milliseconds(0), observed_);
@@ -145,7 +140,7 @@
 
 void Forwarder::LeaveSilentEndpoint(ConnectionId caller) {
   Exchange* exchange = Find(caller);
-  if (exchange == nullptr || !MayLeave(*exchange)) {
+  if (exchange == nullptr || !MayReplaceAttempt(*exchange)) {
     return;
   }
   SilenceQuery query = SilenceOf(*exchange);
@@ -193,7 +188,7 @@
   std::vector<ConnectionId> silent_callers;
   for (const auto& entry : exchanges_) {
     const Exchange& exchange = entry.second;
-    if (!MayLeave(exchange)) {
+    if (!MayReplaceAttempt(exchange)) {
       continue;
     }
     SilenceDecision decision = DecideOnSilence(SilenceOf(exchange));
--- a/tests/unit/dispatch/model_choice_test.cc
+++ b/tests/unit/dispatch/model_choice_test.cc
@@ -12,6 +12,7 @@
 
 Route ThreeModels() {
   Route route;
+  route.kind = RouteKind::kIdempotent;
   route.models = {ModelId("m0"), ModelId("m1"), ModelId("m2")};
   route.objective = milliseconds(1000);
   route.priority = 2;
@@ -44,6 +45,14 @@
             .has_value());
 }
 
+// Guards against a poor response that cannot be replaced.
+TEST_CASE("a request that may run once starts on the largest model",
+          "[dispatch]") {
+  Route route = ThreeModels();
+  route.kind = RouteKind::kNonIdempotent;
+  CHECK(FirstModel(route) == ModelId("m2"));
+}
+
 // Guards against escalating a long prompt to the largest model: its response is
 // late, and it delays all active responses beyond their event gap objective.
 TEST_CASE("a long prompt goes to a model that reads it in time", "[dispatch]") {
--- a/tests/unit/gateway/forwarder_fixture.cc
+++ b/tests/unit/gateway/forwarder_fixture.cc
@@ -15,7 +15,14 @@
   "timeout_ms":800,"objective_ms":300,"priority":2,"service":"s","max_attempts":2},
  {"name":"stream","host":"h.example","prefix":"/stream/","route_kind":"streaming",
   "timeout_ms":20000,"objective_ms":2000,"gap_aim_ms":1000,"priority":1,
-  "service":"s","max_attempts":3,"resumable":true}],
+  "service":"s","max_attempts":3,"resumable":true},
+ {"name":"sized","host":"h.example","prefix":"/sized/","route_kind":"streaming",
+  "timeout_ms":20000,"objective_ms":2000,"gap_aim_ms":1000,"priority":1,
+  "service":"s","max_attempts":3,"resumable":true,"sizes":["small","large"]},
+ {"name":"sized-once","host":"h.example","prefix":"/sized-once/",
+  "route_kind":"streaming","timeout_ms":20000,"objective_ms":2000,
+  "gap_aim_ms":1000,"priority":1,"service":"s","max_attempts":3,
+  "sizes":["small","large"]}],
  "services":[{"name":"s","max_conns":100}],
  "tenants":[{"name":"museum","api_keys":["k1"]}]})";
 
@@ -153,12 +160,13 @@
       status, id, id, more_fields, body.size(), body);
 }
 
-std::string ForwarderFixture::StreamHead(const std::string& id) {
+std::string ForwarderFixture::StreamHead(const std::string& id,
+                                         const std::string& more_fields) {
   return fmt::format(
       "HTTP/1.1 200 OK\r\nFilbertshift-Attempt-Id: {}\r\n"
-      "Filbertshift-Response-Seal: seal-{}\r\n"
+      "Filbertshift-Response-Seal: seal-{}\r\n{}"
       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-      id, id);
+      id, id, more_fields);
 }
 
 std::string ForwarderFixture::Event(int number) {
--- a/tests/unit/gateway/forwarder_fixture.h
+++ b/tests/unit/gateway/forwarder_fixture.h
@@ -35,7 +35,9 @@
 class ForwarderFixture : public FleetViewListener {
  public:
   // Sets up one service with endpoints "e1" to "eN" and the routes /once/ (not
-  // idempotent), /safe/ (idempotent) and /stream/ (resumable stream).
+  // idempotent), /safe/ (idempotent), /stream/ (resumable stream), /sized/ (the
+  // same with the models "small" and "large") and /sized-once/ (the same, not
+  // resumable).
   explicit ForwarderFixture(int endpoints = 2);
 
   void OnConfiguration(const FleetConfiguration& configuration) override;
@@ -69,7 +71,8 @@
                                    const std::string& body,
                                    const std::string& more_fields = "");
   // Head of a chunked stream.
-  static std::string StreamHead(const std::string& id);
+  static std::string StreamHead(const std::string& id,
+                                const std::string& more_fields = "");
   static std::string Event(int number);
 
   FakeTransport transport;
