Reject replies that end within their head

libcurl reports success and the status for a connection that is closed within the head of a response, as long as no length was read. An acknowledgement of the store, the ledger or the key service that was cut there counted as given, and so did a reply to an operator's tool.

Endpoints' attempts were checked before (ClassifySent). The transfer now requires the end of the head.

--- a/src/backing_services/http_transfer.cc
+++ b/src/backing_services/http_transfer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <string_view>
 #include <utility>
 
 namespace filbertshift {
@@ -29,6 +30,8 @@
                    std::max<long>(1, request_.timeout.count()));
   curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &HttpTransfer::WriteBody);
   curl_easy_setopt(curl, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &HttpTransfer::ReadHeadLine);
+  curl_easy_setopt(curl, CURLOPT_HEADERDATA, this);
   SetBody();
   SetHeaders();
 }
@@ -98,14 +101,27 @@
   return bytes;
 }
 
+// libcurl reports success for a connection that is closed within the head of a
+// response, as long as no length was read.
+size_t HttpTransfer::ReadHeadLine(char* data,
+                                  size_t size,
+                                  size_t count,
+                                  void* self) {
+  const std::string_view line(data, size * count);
+  static_cast<HttpTransfer*>(self)->head_complete_ =
+      line == "\r\n" || line == "\n";
+  return line.size();
+}
+
 HttpResult HttpTransfer::TakeResult(CURLcode code) {
   HttpResult result;
   long request_bytes = 0;
   curl_easy_getinfo(handle_.get(), CURLINFO_REQUEST_SIZE, &request_bytes);
   result.sent = request_bytes > 0;
-  result.complete = code == CURLE_OK;
+  result.complete = code == CURLE_OK && head_complete_;
   if (!result.complete) {
-    result.detail = curl_easy_strerror(code);
+    result.detail = code == CURLE_OK ? "the response ends within its head"
+                                     : curl_easy_strerror(code);
     return result;
   }
   long status = 0;
--- a/src/backing_services/http_transfer.h
+++ b/src/backing_services/http_transfer.h
@@ -56,8 +56,11 @@
   void SetUpload();
   static size_t ReadBody(char* buffer, size_t size, size_t count, void* self);
   static size_t WriteBody(char* data, size_t size, size_t count, void* self);
+  static size_t ReadHeadLine(char* data, size_t size, size_t count, void* self);
 
   HttpRequest request_;
+  // Whether the latest line was the end of a head or of trailers.
+  bool head_complete_ = false;
   std::size_t body_sent_ = 0;
   std::string response_;
   std::unique_ptr<curl_slist, DeleteList> headers_;
--- a/src/ctl/operator_client.cc
+++ b/src/ctl/operator_client.cc
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <stdexcept>
+#include <string_view>
 
 namespace filbertshift {
 
@@ -27,6 +28,18 @@
   return size * count;
 }
 
+// Notes whether the latest line was the end of a head. libcurl reports success
+// for a connection that is closed within the head of a response, as long as no
+// length was read.
+std::size_t ReadHeadLine(char* data,
+                         std::size_t size,
+                         std::size_t count,
+                         void* head_complete) {
+  const std::string_view line(data, size * count);
+  *static_cast<bool*>(head_complete) = line == "\r\n" || line == "\n";
+  return line.size();
+}
+
 struct EasyDeleter {
   void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
 };
@@ -84,11 +97,15 @@
   curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, kCallTimeoutMs);
   curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, AppendBody);
   curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &reply.body);
+  bool head_complete = false;
+  curl_easy_setopt(easy.get(), CURLOPT_HEADERFUNCTION, ReadHeadLine);
+  curl_easy_setopt(easy.get(), CURLOPT_HEADERDATA, &head_complete);
   SetBody(easy.get(), call);
   CURLcode code = curl_easy_perform(easy.get());
-  if (code != CURLE_OK) {
+  if (code != CURLE_OK || !head_complete) {
     reply.outcome = FailureOutcome(easy.get());
-    reply.detail = curl_easy_strerror(code);
+    reply.detail = code == CURLE_OK ? "the response ends within its head"
+                                    : curl_easy_strerror(code);
     return reply;
   }
   long status = 0;
