Resume a stream only with a response of its media type

A stream broke off, and the next endpoint answered 200 with text instead of events: callers found the text between their events, and the stream ended as complete. Error answers were kept apart before, as the tests show.

The response is dropped and another endpoint asked, as for each attempt that breaks off.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -84,6 +84,8 @@
   int confidence = -1;
   // Invariant: set once the response head was sent to the caller.
   bool response_started = false;
+  // Media type of a stream that has begun; empty if its head names none.
+  std::string stream_type;
   // When the first and latest events were sent to the caller, and the longest
   // pause between two sends.
   TimePoint first_delivery_at{};
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -56,6 +56,12 @@
   return IsSuccess(attempt.head.status) && IsGenuine(attempt);
 }
 
+// The Content-Type without parameters; empty if there is none.
+std::string MediaType(const HttpResponseHead& head) {
+  const std::string* type = head.headers.Find("Content-Type");
+  return type == nullptr ? std::string() : type->substr(0, type->find(';'));
+}
+
 }  // namespace
 
 EvidenceKey Forwarder::EvidenceKeyOf(const Exchange& exchange) const {
@@ -124,6 +130,12 @@
     exchange->confidence = response_metadata.confidence.value_or(-1);
   }
   bool named = attempt.names_request;
+  if (exchange->response_started && IsGenuineSuccess(attempt) &&
+      !EqualsIgnoringCase(MediaType(head), exchange->stream_type)) {
+    // Its text would end up between the events that the caller has.
+    MoveAttempt(exchange, "other media type");
+    return HeadDecision::kAcceptLast;
+  }
   if (IsSuccess(head.status) && response_metadata.sealed && named) {
     evidence_.OnFirstByte(EvidenceKeyOf(*exchange), waited,
                           EvidenceGroupOf(*exchange));
@@ -263,6 +275,7 @@
     return;
   }
   exchange->response_started = true;
+  exchange->stream_type = MediaType(exchange->attempt->head);
   metrics_->ObserveFirstByte(
       exchange->route->name,
       duration_cast<microseconds>(transport_->Now() - exchange->arrived_at));
