Test a new version under load before it is completed

Its first share brings each of its endpoints a fifth of their usual load where a service has few of them.

After half of the deadline, all instances send it the load of a burst for about a second at the same time, on a few of its endpoints: requests without a session only, as many as the exposure limit allows. Times from the test are not compared. Three failures at 3.5 deviations make it suspect, which keeps it from being completed. The first share leaves requests for the test.

Ruled out: a longer full share (the exposure limit leaves none). Red with the test left out: 'a version that fails under load is not completed'.

--- a/src/dispatch/version_policy.cc
+++ b/src/dispatch/version_policy.cc
@@ -20,7 +20,8 @@
 VersionRule VersionPolicy::RuleFor(const RolloutOrder* order,
                                    const RolloutProgress* progress,
                                    const std::string& session,
-                                   TimePoint now) const {
+                                   TimePoint now,
+                                   bool has_session) const {
   using Kind = VersionRule::Kind;
   if (order == nullptr) {
     return {};
@@ -39,8 +40,32 @@
                     kept_by_peers_.count(HashSession(session)) > 0)) {
     candidate = false;
   }
-  return {candidate ? Kind::kOnly : Kind::kAllExcept, order->to,
-          candidate ? progress->exposure_permille : 0};
+  bool in_load_test = progress->load_test.has_value() &&
+                      InLoadTest(order->service, now) &&
+                      progress->state == RolloutPhase::kInProgress;
+  if (in_load_test && !has_session &&
+      GoesToCandidate(session, progress->load_test->permille)) {
+    candidate = true;
+  }
+  if (!candidate) {
+    return {Kind::kAllExcept, order->to};
+  }
+  return {Kind::kOnly, order->to, progress->exposure_permille,
+          in_load_test ? progress->load_test->endpoints : 0};
+}
+
+void VersionPolicy::SetLoadTest(const ServiceId& service,
+                                std::optional<LoadTestWindow> window) {
+  if (window.has_value()) {
+    load_tests_[service] = *window;
+  } else {
+    load_tests_.erase(service);
+  }
+}
+
+bool VersionPolicy::InLoadTest(const ServiceId& service, TimePoint now) const {
+  auto found = load_tests_.find(service);
+  return found != load_tests_.end() && found->second.Contains(now);
 }
 
 // Sessions that were active before the order keep their version until the
--- a/src/dispatch/version_policy.h
+++ b/src/dispatch/version_policy.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -24,12 +25,21 @@
   // in thousandths. Each of them then has its normal load, so that response
   // times are comparable with those of the stable version.
   int endpoint_share_permille = 0;
+  // Set in a load test: its traffic goes to only this many of its endpoints.
+  int max_endpoints = 0;
   bool Allows(const VersionId& candidate) const {
     return kind == Kind::kAny ||
            (kind == Kind::kOnly) == (candidate == version);
   }
 };
 
+// A load test of a rollout by this instance's clock.
+struct LoadTestWindow {
+  bool Contains(TimePoint now) const { return now >= from && now < until; }
+  TimePoint from;
+  TimePoint until;
+};
+
 class VersionPolicy {
  public:
   // `session_retention`: how long a session keeps its version on this instance
@@ -37,11 +47,17 @@
   explicit VersionPolicy(std::chrono::milliseconds session_retention);
 
   // `order` and `progress` may be nullptr; progress of another order is
-  // ignored.
+  // ignored. `has_session`: other requests may belong to the same session.
   VersionRule RuleFor(const RolloutOrder* order,
                       const RolloutProgress* progress,
                       const std::string& session,
-                      TimePoint now) const;
+                      TimePoint now,
+                      bool has_session = true) const;
+  // Sets when the load test of the service's rollout takes place; empty if it
+  // has none.
+  void SetLoadTest(const ServiceId& service,
+                   std::optional<LoadTestWindow> window);
+  bool InLoadTest(const ServiceId& service, TimePoint now) const;
   // Sends no further requests of this instance to the candidate.
   void Stop(const ServiceId& service, std::int64_t order_version);
   bool IsStopped(const RolloutOrder& order) const;
@@ -81,6 +97,7 @@
 
   const std::chrono::milliseconds session_retention_;
   std::map<ServiceId, std::int64_t> stopped_;
+  std::map<ServiceId, LoadTestWindow> load_tests_;
   std::unordered_map<std::string, Session> sessions_;
   std::set<std::uint32_t> kept_by_peers_;
 };
--- a/src/fleet/rollout_driver.cc
+++ b/src/fleet/rollout_driver.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "src/common/document_reader.h"
@@ -18,6 +19,7 @@
 // the sessions that are active on the stable version.
 constexpr milliseconds kAnnounceDelay{2000};
 constexpr int kFullPermille = 1000;
+constexpr std::int64_t kMaxEndpoints = 1000000;
 // Margin between half the deadline and the full share, because the instances'
 // views of the elapsed time differ.
 constexpr milliseconds kHalfDeadlineMargin{400};
@@ -37,6 +39,20 @@
 // Assumed growth of the traffic after the switch to the full share.
 constexpr double kTrafficGrowthFactor = 1.5;
 
+// Load of an endpoint in the load test, relative to its usual load.
+constexpr double kLoadTestFactor = 2.5;
+// Requests of the load test, and the least number that is worth a test.
+constexpr double kLoadTestRequests = 48;
+// Assumed growth of the traffic until the end of the load test.
+constexpr double kLoadTestGrowthFactor = 1.25;
+constexpr double kMinLoadTestRequests = 12;
+constexpr std::chrono::duration<double> kMinLoadTestTime(0.5);
+constexpr std::chrono::duration<double> kMaxLoadTestTime(2.0);
+// Time for all instances to learn of the load test before it begins, and for
+// their evidence of it to be known after its end.
+constexpr milliseconds kLoadTestLead{1000};
+constexpr milliseconds kLoadEvidenceDelay{2000};
+
 std::optional<RolloutProgress> NextStep(const RolloutInputs& inputs,
                                         int permille,
                                         RolloutPhase state) {
@@ -47,6 +63,25 @@
   return next;
 }
 
+// How long before its deadline a rollout is completed at the latest.
+milliseconds DeadlineMargin(milliseconds deadline) {
+  return std::min(deadline / kDeadlineMarginDivisor, kMaxDeadlineMargin);
+}
+
+// Requests that the candidate may receive apart from its first share, if the
+// rollout is completed as late as possible and the traffic grows then.
+double SpareRequests(const RolloutInputs& inputs, milliseconds remaining) {
+  double rate = inputs.traffic.per_second;
+  double all = static_cast<double>(inputs.traffic.all) +
+               rate * std::chrono::duration<double>(remaining).count();
+  double after_completion =
+      rate * kTrafficGrowthFactor *
+      std::chrono::duration<double>(DeadlineMargin(inputs.order.deadline))
+          .count();
+  return inputs.limit.share * all + inputs.limit.tolerance -
+         static_cast<double>(inputs.traffic.candidate) - after_completion;
+}
+
 int FirstSharePermille(const RolloutInputs& inputs) {
   std::chrono::duration<double> total =
       std::max(inputs.order.deadline, kFullShareDeadline);
@@ -54,6 +89,15 @@
                 std::chrono::duration<double>(kFullShareTime).count() /
                 total.count();
   double first = inputs.limit.share * (1 + full) - full;
+  milliseconds remaining = inputs.order.deadline - kAnnounceDelay;
+  double requests = inputs.traffic.per_second *
+                    std::chrono::duration<double>(remaining).count();
+  if (requests > 0) {
+    // Leaves enough requests for the load test.
+    first =
+        std::min(first, (SpareRequests(inputs, remaining) - kLoadTestRequests) /
+                            requests);
+  }
   return std::clamp(static_cast<int>(first * kFullPermille),
                     kMinFirstSharePermille, kFirstSharePermille);
 }
@@ -70,16 +114,60 @@
   return candidate <= inputs.limit.share * all + inputs.limit.tolerance;
 }
 
+// Returns an empty value if the exposure limit leaves too few requests for a
+// load test, or the rest of the rollout too little time.
+std::optional<RolloutLoadTest> PlanLoadTest(const RolloutInputs& inputs,
+                                            milliseconds remaining) {
+  milliseconds margin = DeadlineMargin(inputs.order.deadline);
+  double rate = inputs.traffic.per_second;
+  if (rate <= 0 || inputs.candidate_endpoints <= 0 ||
+      remaining < margin + kLoadTestLead + kLoadEvidenceDelay) {
+    return std::nullopt;
+  }
+  double first =
+      inputs.progress->exposure_permille / static_cast<double>(kFullPermille);
+  double endpoints = inputs.candidate_endpoints;
+  RolloutLoadTest test;
+  test.endpoints = std::max(
+      static_cast<int>(std::lround(endpoints * first / kLoadTestFactor)), 1);
+  double share =
+      std::clamp(kLoadTestFactor * test.endpoints / endpoints, first, 1.0);
+  test.permille = static_cast<int>(share * kFullPermille);
+  double affordable =
+      SpareRequests(inputs, remaining) -
+      rate * first * std::chrono::duration<double>(remaining).count();
+  affordable /= kLoadTestGrowthFactor;
+  double requests = std::min(affordable, kLoadTestRequests);
+  if (requests < kMinLoadTestRequests) {
+    return std::nullopt;
+  }
+  std::chrono::duration<double> time(requests / (share * rate));
+  if (time < kMinLoadTestTime) {
+    time = std::min(std::chrono::duration<double>(affordable / (share * rate)),
+                    kMinLoadTestTime);
+  }
+  test.from = inputs.store_now + kLoadTestLead;
+  test.until = test.from + std::chrono::duration_cast<milliseconds>(
+                               std::min(time, kMaxLoadTestTime));
+  return test;
+}
+
 }  // namespace
 
 std::string EncodeRolloutProgress(const RolloutProgress& progress) {
-  return json{{"order_version", progress.order_version},
-              {"to", progress.to.value()},
-              {"started_at_ms", progress.started_at.count()},
-              {"changed_at_ms", progress.changed_at.count()},
-              {"exposure_permille", progress.exposure_permille},
-              {"state", static_cast<int>(progress.state)}}
-      .dump();
+  json value{{"order_version", progress.order_version},
+             {"to", progress.to.value()},
+             {"started_at_ms", progress.started_at.count()},
+             {"changed_at_ms", progress.changed_at.count()},
+             {"exposure_permille", progress.exposure_permille},
+             {"state", static_cast<int>(progress.state)}};
+  if (progress.load_test.has_value()) {
+    value["load_test"] = {{"from_ms", progress.load_test->from.count()},
+                          {"until_ms", progress.load_test->until.count()},
+                          {"permille", progress.load_test->permille},
+                          {"endpoints", progress.load_test->endpoints}};
+  }
+  return value.dump();
 }
 
 std::optional<RolloutProgress> DecodeRolloutProgress(const std::string& text) {
@@ -97,6 +185,14 @@
     std::int64_t state = ToInteger(value.at("state"), 0,
                                    static_cast<int>(RolloutPhase::kReverted));
     progress.state = static_cast<RolloutPhase>(state);
+    if (value.contains("load_test")) {
+      const json& test = value["load_test"];
+      progress.load_test = RolloutLoadTest{
+          milliseconds(ToInteger(test.at("from_ms"), 0, kMaxCount)),
+          milliseconds(ToInteger(test.at("until_ms"), 0, kMaxCount)),
+          static_cast<int>(ToInteger(test.at("permille"), 0, kFullPermille)),
+          static_cast<int>(ToInteger(test.at("endpoints"), 1, kMaxEndpoints))};
+    }
     return progress;
   } catch (const json::exception&) {
     return std::nullopt;
@@ -135,10 +231,22 @@
     return std::nullopt;
   }
   milliseconds remaining = deadline - elapsed;
-  bool near_deadline = remaining <= std::min(deadline / kDeadlineMarginDivisor,
-                                             kMaxDeadlineMargin);
+  bool near_deadline = remaining <= DeadlineMargin(deadline);
   if (progress.exposure_permille < kFullPermille) {
-    bool due = near_deadline || FullShareKeepsLimit(inputs, remaining);
+    if (!progress.load_test.has_value()) {
+      std::optional<RolloutLoadTest> test = PlanLoadTest(inputs, remaining);
+      if (test.has_value()) {
+        RolloutProgress next = progress;
+        next.load_test = test;
+        next.changed_at = inputs.store_now;
+        return next;
+      }
+    }
+    bool tested =
+        !progress.load_test.has_value() ||
+        inputs.store_now >= progress.load_test->until + kLoadEvidenceDelay;
+    bool due =
+        near_deadline || (tested && FullShareKeepsLimit(inputs, remaining));
     if (!due || inputs.candidate_endpoints == 0) {
       return std::nullopt;
     }
--- a/src/fleet/rollout_driver.h
+++ b/src/fleet/rollout_driver.h
@@ -19,6 +19,25 @@
 // thousandths.
 constexpr int kFirstSharePermille = 60;
 
+// A short time in which some of the candidate's endpoints get the load of a
+// burst: a version may fail only under a load that its share does not bring,
+// and after the completion nothing can be undone. Requests that belong to no
+// session go to the candidate in a larger share. Times are from the store's
+// clock, so that all instances begin and end together.
+struct RolloutLoadTest {
+  std::chrono::milliseconds from{0};
+  std::chrono::milliseconds until{0};
+  // Thousandths of the requests without a session that go to the candidate.
+  int permille = 0;
+  // Number of the candidate's endpoints that get all its requests.
+  int endpoints = 0;
+
+  friend bool operator==(const RolloutLoadTest& a, const RolloutLoadTest& b) {
+    return a.from == b.from && a.until == b.until && a.permille == b.permille &&
+           a.endpoints == b.endpoints;
+  }
+};
+
 // Progress row by which all instances route. Times are from the store's clock.
 struct RolloutProgress {
   std::int64_t order_version = 0;
@@ -28,6 +47,7 @@
   // Thousandths of the sessions that go to the candidate.
   int exposure_permille = 0;
   RolloutPhase state = RolloutPhase::kInProgress;
+  std::optional<RolloutLoadTest> load_test = std::nullopt;
 
   // Whether active sessions must still keep their version.
   bool in_first_share() const {
@@ -38,7 +58,8 @@
   friend bool operator==(const RolloutProgress& a, const RolloutProgress& b) {
     return a.order_version == b.order_version && a.to == b.to &&
            a.started_at == b.started_at && a.changed_at == b.changed_at &&
-           a.exposure_permille == b.exposure_permille && a.state == b.state;
+           a.exposure_permille == b.exposure_permille && a.state == b.state &&
+           a.load_test == b.load_test;
   }
 };
 
--- a/src/fleet/rollout_evidence.cc
+++ b/src/fleet/rollout_evidence.cc
@@ -11,13 +11,17 @@
 
 namespace {
 
-// Minimum number of failures for a bad verdict, because every version has
-// occasional failures.
-constexpr std::int64_t kMinFailures = 4;
-// Allowed excess over the failure rate of the stable version, in standard
-// deviations of the stable rate. About one in 30,000 good candidates exceeds
-// it.
-constexpr double kFailureDeviations = 4.0;
+// Limits on the failures of a candidate.
+struct FailureLimits {
+  // Every version has occasional failures.
+  std::int64_t min_failures;
+  // Allowed excess over the failure rate of the stable version, in standard
+  // deviations of the stable rate.
+  double deviations;
+};
+// About one in 30,000 good candidates is bad by these.
+constexpr FailureLimits kBadFailures{4, 4.0};
+constexpr FailureLimits kSuspectFailures{3, 3.5};
 // Minimum failure rate assumed for a stable version.
 constexpr double kMinStableFailureRate = 0.01;
 // Ratio of geometric mean times above which a candidate counts as slow.
@@ -55,8 +59,9 @@
 }
 
 bool HasHigherFailureRate(const AnswerCounts& candidate,
-                          const AnswerCounts& stable) {
-  if (candidate.failures < kMinFailures) {
+                          const AnswerCounts& stable,
+                          const FailureLimits& limits) {
+  if (candidate.failures < limits.min_failures) {
     return false;
   }
   auto answers = static_cast<double>(candidate.answers);
@@ -65,7 +70,7 @@
   double expected = std::max(stable_rate, kMinStableFailureRate);
   double deviation = std::sqrt(expected * (1 - expected) / answers);
   double rate = static_cast<double>(candidate.failures) / answers;
-  return rate > expected + kFailureDeviations * deviation;
+  return rate > expected + limits.deviations * deviation;
 }
 
 bool IsSlower(std::int64_t candidate_count,
@@ -81,7 +86,7 @@
 }
 
 bool IsBad(const AnswerCounts& candidate, const AnswerCounts& stable) {
-  return HasHigherFailureRate(candidate, stable) ||
+  return HasHigherFailureRate(candidate, stable, kBadFailures) ||
          IsSlower(candidate.first_bytes, candidate.first_byte_log_sum,
                   stable.first_bytes, stable.first_byte_log_sum) ||
          IsSlower(candidate.gaps, candidate.gap_log_sum, stable.gaps,
@@ -333,12 +338,17 @@
         counts);
     (is_candidate ? all_candidate : all_stable).Add(counts);
   }
+  bool is_suspect =
+      HasHigherFailureRate(all_candidate, all_stable, kSuspectFailures);
   for (const auto& [route, counts] : candidate_by_route) {
-    if (IsBad(counts, stable_by_route[route])) {
+    const AnswerCounts& stable = stable_by_route[route];
+    if (IsBad(counts, stable)) {
       return CandidateVerdict::kBad;
     }
+    is_suspect =
+        is_suspect || HasHigherFailureRate(counts, stable, kSuspectFailures);
   }
-  if (HasHigherFailureRate(all_candidate, all_stable)) {
+  if (HasHigherFailureRate(all_candidate, all_stable, kBadFailures)) {
     return CandidateVerdict::kBad;
   }
   double slow_deviations =
@@ -346,7 +356,7 @@
   if (slow_deviations > kBadRankDeviations) {
     return CandidateVerdict::kBad;
   }
-  if (slow_deviations > kSuspectRankDeviations) {
+  if (is_suspect || slow_deviations > kSuspectRankDeviations) {
     return CandidateVerdict::kSuspect;
   }
   return all_candidate.answers >= kMinGoodAnswers
--- a/src/fleet/rollout_evidence.h
+++ b/src/fleet/rollout_evidence.h
@@ -85,8 +85,9 @@
 enum class CandidateVerdict {
   kUndecided,
   kGood,
-  // Probably slower than the stable version. More responses may decide it; if
-  // there is no time for them, the candidate must not replace the stable one.
+  // Probably slower than the stable version, or failing more often. More
+  // responses may decide it; if there is no time for them, the candidate must
+  // not replace the stable one.
   kSuspect,
   kBad,
 };
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -32,6 +32,8 @@
   // Bytes of a response that is not streamed, since it last advanced.
   std::size_t bytes_since_progress = 0;
   TimePoint first_byte_at{};
+  // Started in a load test, whose times are no measure of the version.
+  bool in_load_test = false;
   bool head_seen = false;
   HttpResponseHead head;
   ResponseMetadata response_metadata;
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -70,7 +70,8 @@
 
 int Forwarder::EvidenceGroupOf(const Exchange& exchange) const {
   const EndpointAttempt& attempt = *exchange.attempt;
-  if (pool_.IsCold(attempt.endpoint, transport_->Now())) {
+  if (attempt.in_load_test ||
+      pool_.IsCold(attempt.endpoint, transport_->Now())) {
     return -1;
   }
   auto order = view_.orders().find(exchange.service);
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -43,7 +43,8 @@
   const RolloutOrder* known =
       order == view_.orders().end() ? nullptr : &order->second;
   return versions_.RuleFor(known, view_.FindProgress(exchange.service),
-                           exchange.session, transport_->Now());
+                           exchange.session, transport_->Now(),
+                           !exchange.metadata.session.empty());
 }
 
 double Forwarder::ModelWeight(const Exchange& exchange,
@@ -75,6 +76,9 @@
         (ready * rule.endpoint_share_permille + kPermilleScale - 1) /
         kPermilleScale;
   }
+  if (rule.max_endpoints > 0) {
+    query.max_endpoints = rule.max_endpoints;
+  }
   query.model = exchange.model;
   query.affinity = exchange.affinity;
   query.excluded = exchange.tried;
@@ -188,6 +192,7 @@
   attempt.work = QueryFor(*exchange).work;
   attempt.started_at = now;
   attempt.progress_at = now;
+  attempt.in_load_test = versions_.InLoadTest(exchange->service, now);
   ++exchange->attempts;
   exchange->tried.push_back(endpoint.endpoint);
   pool_.OnStart(endpoint.endpoint, attempt.work, now);
--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -142,6 +142,7 @@
     inputs.progress = *progress;
   }
   inputs.store_now = store_time;
+  UpdateLoadTest(order, progress, store_time, now);
   RolloutEvidence evidence = SharedEvidence();
   inputs.verdict = EvaluateCandidate(evidence, order.service, order.to);
   inputs.candidate_endpoints =
@@ -165,17 +166,34 @@
     return;
   }
   if (IsMyTurn(order, now) && !IsWritePending(order, *next, now)) {
-    written_[order.service] = {next->exposure_permille, next->state, now};
+    written_[order.service] = {next->exposure_permille, next->state,
+                               next->load_test.has_value(), now};
     WriteProgress(order, *next);
   }
 }
 
+void RolloutControl::UpdateLoadTest(const RolloutOrder& order,
+                                    const RolloutProgress* progress,
+                                    milliseconds store_time,
+                                    TimePoint now) {
+  std::optional<LoadTestWindow> window;
+  if (progress != nullptr && progress->load_test.has_value() &&
+      progress->order_version == order.order_version &&
+      progress->state == RolloutPhase::kInProgress) {
+    window = {now + (progress->load_test->from - store_time),
+              now + (progress->load_test->until - store_time)};
+  }
+  forwarder_->versions().SetLoadTest(order.service, window);
+}
+
 bool RolloutControl::IsWritePending(const RolloutOrder& order,
                                     const RolloutProgress& next,
                                     TimePoint now) {
   const WrittenStep& written = written_[order.service];
   return written.exposure_permille == next.exposure_permille &&
-         written.state == next.state && now - written.at < kWriteRetryInterval;
+         written.state == next.state &&
+         written.has_load_test == next.load_test.has_value() &&
+         now - written.at < kWriteRetryInterval;
 }
 
 bool RolloutControl::IsMyTurn(const RolloutOrder& order, TimePoint now) {
@@ -200,6 +218,13 @@
       fmt::format("service={} to={} exposure={} state={}",
                   order.service.value(), order.to.value(),
                   progress.exposure_permille, static_cast<int>(progress.state));
+  if (progress.load_test.has_value()) {
+    detail += fmt::format(
+        " load_test={}+{}ms permille={} endpoints={}",
+        progress.load_test->from.count(),
+        (progress.load_test->until - progress.load_test->from).count(),
+        progress.load_test->permille, progress.load_test->endpoints);
+  }
   RolloutEvidence evidence = SharedEvidence();
   for (const auto& [evidence_key, counts] : evidence.counts()) {
     if (evidence_key.service == order.service) {
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -38,12 +38,17 @@
   struct WrittenStep {
     int exposure_permille = -1;
     RolloutPhase state = RolloutPhase::kInProgress;
+    bool has_load_test = false;
     TimePoint at{};
   };
 
   void StepRollout(const RolloutOrder& order,
                    std::chrono::milliseconds store_time,
                    TimePoint now);
+  void UpdateLoadTest(const RolloutOrder& order,
+                      const RolloutProgress* progress,
+                      std::chrono::milliseconds store_time,
+                      TimePoint now);
   void ImportKeptSessions();
   RolloutEvidence SharedEvidence() const;
   int CountStableInFlight(const RolloutOrder& order) const;
--- a/tests/unit/fleet/rollout_driver_test.cc
+++ b/tests/unit/fleet/rollout_driver_test.cc
@@ -52,6 +52,21 @@
   }
 }
 
+// Thousandths of the requests that go to the candidate; none has a session.
+int CandidatePermille(const std::optional<RolloutProgress>& progress,
+                      milliseconds now) {
+  if (!progress.has_value()) {
+    return 0;
+  }
+  bool in_load_test = progress->load_test.has_value() &&
+                      progress->state == RolloutPhase::kInProgress &&
+                      now >= progress->load_test->from &&
+                      now < progress->load_test->until;
+  return in_load_test ? std::max(progress->load_test->permille,
+                                 progress->exposure_permille)
+                      : progress->exposure_permille;
+}
+
 // Request counts of a simulated rollout whose candidate shows no fault before
 // the deadline. The traffic grows by half at a random time, and the published
 // counts lag by one second.
@@ -79,8 +94,7 @@
   for (milliseconds elapsed(0); elapsed < deadline; elapsed += kTick) {
     double rate = elapsed >= burst_at ? base_rate * 1.5 : base_rate;
     double sent = rate * std::chrono::duration<double>(kTick).count();
-    int permille =
-        inputs.progress.has_value() ? inputs.progress->exposure_permille : 0;
+    int permille = CandidatePermille(inputs.progress, start + elapsed);
     result.all += sent;
     result.candidate += sent * permille / 1000.0;
     published.push_back({static_cast<std::int64_t>(result.candidate),
@@ -138,8 +152,7 @@
     for (milliseconds now(0); now < kDeadline; now += kTick) {
       double rate = now > milliseconds(22000) ? kRate * growth : kRate;
       double sent = rate * std::chrono::duration<double>(kTick).count();
-      int permille =
-          inputs.progress.has_value() ? inputs.progress->exposure_permille : 0;
+      int permille = CandidatePermille(inputs.progress, now);
       all += sent;
       candidate += sent * permille / 1000.0;
       published.push_back({static_cast<std::int64_t>(candidate),
@@ -179,6 +192,146 @@
   CheckLargeFleet(milliseconds(400), milliseconds(300));
 }
 
+// A rollout of a service with three endpoints and 42 requests a second, whose
+// candidate fails only under load. Evidence is known 1.5 s after the responses.
+struct LoadFault {
+  // Share of failures at the usual load of an endpoint and in the load test.
+  double usual = 0;
+  double in_test = 0;
+};
+
+struct LoadOutcome {
+  RolloutPhase state = RolloutPhase::kInProgress;
+  milliseconds decided_at{0};
+  int bad_answers = 0;
+};
+
+LoadOutcome SimulateLoadFault(unsigned seed,
+                              const LoadFault& fault,
+                              double stable_failures = 0.006) {
+  constexpr milliseconds kTick{50};
+  constexpr std::size_t kEvidenceLagTicks = 30;
+  constexpr milliseconds kDeadline{16000};
+  constexpr double kRate = 42;
+  std::mt19937 random(seed);
+  std::uniform_real_distribution<double> uniform(0, 1);
+  std::poisson_distribution<int> arrivals(
+      kRate * std::chrono::duration<double>(kTick).count());
+  RolloutInputs inputs = Inputs(kDeadline);
+  inputs.limit = {0.15, 30};
+  inputs.stable_in_flight = 5;
+  std::vector<RolloutEvidence> published;
+  RolloutEvidence evidence;
+  LoadOutcome outcome;
+  for (milliseconds now(0); now < kDeadline; now += kTick) {
+    int permille = CandidatePermille(inputs.progress, now);
+    bool is_full = inputs.progress.has_value() &&
+                   inputs.progress->exposure_permille == 1000;
+    double failures = permille < 500 ? 0
+                      : is_full      ? fault.usual
+                                     : fault.in_test;
+    int count = arrivals(random);
+    for (int i = 0; i < count; ++i) {
+      bool candidate = uniform(random) * 1000 < permille;
+      EvidenceKey key{ServiceId("s"), VersionId(candidate ? "v2" : "v1"), "r"};
+      bool failed =
+          uniform(random) <
+          (candidate ? std::max(failures, stable_failures) : stable_failures);
+      evidence.OnSend(key);
+      evidence.OnAnswer(key, failed);
+      outcome.bad_answers += candidate && failed ? 1 : 0;
+    }
+    published.push_back(evidence);
+    const RolloutEvidence& known =
+        published[published.size() > kEvidenceLagTicks
+                      ? published.size() - kEvidenceLagTicks
+                      : 0];
+    inputs.store_now = now;
+    inputs.traffic = {known.SendsTo(ServiceId("s"), VersionId("v2")),
+                      known.SendsTo(ServiceId("s")), kRate};
+    inputs.verdict = EvaluateCandidate(known, ServiceId("s"), VersionId("v2"));
+    std::optional<RolloutProgress> next = NextRolloutProgress(inputs);
+    if (next.has_value()) {
+      inputs.progress = *next;
+    }
+    outcome.state = inputs.progress->state;
+    if (outcome.state != RolloutPhase::kInProgress) {
+      outcome.decided_at = now;
+      break;
+    }
+  }
+  return outcome;
+}
+
+// Guards against a version that is completed, and can't be undone, before it
+// has been seen under load. Half of its requests fail there.
+TEST_CASE("a version that fails under load is not completed", "[fleet]") {
+  constexpr int kRollouts = 400;
+  int completed = 0;
+  int most_bad_answers = 0;
+  for (unsigned seed = 1; seed <= kRollouts; ++seed) {
+    LoadOutcome outcome = SimulateLoadFault(seed, {0.15, 0.4});
+    completed += outcome.state == RolloutPhase::kCompleted ? 1 : 0;
+    most_bad_answers = std::max(most_bad_answers, outcome.bad_answers);
+  }
+  WARN("completed of " << kRollouts << " that fail under load: " << completed
+                       << "; most bad answers: " << most_bad_answers);
+  CHECK(completed <= kRollouts / 100);
+  CHECK(most_bad_answers < 50);
+}
+
+// Guards against load tests that send sound versions back, or make them late.
+TEST_CASE("a sound version passes the load test in time", "[fleet]") {
+  constexpr int kRollouts = 400;
+  for (double natural_failures : {0.006, 0.02, 0.25}) {
+    int sent_back = 0;
+    for (unsigned seed = 1; seed <= kRollouts; ++seed) {
+      LoadOutcome outcome = SimulateLoadFault(seed, {0, 0}, natural_failures);
+      sent_back += outcome.state == RolloutPhase::kReverted ? 1 : 0;
+      CHECK(outcome.state != RolloutPhase::kInProgress);
+      CHECK(outcome.decided_at <= milliseconds(15100));
+    }
+    WARN("sent back of " << kRollouts << " sound ones that fail "
+                         << natural_failures << ": " << sent_back);
+    CHECK(sent_back <= kRollouts / 100);
+  }
+}
+
+// Guards against a load test that moves sessions back and forth.
+TEST_CASE("a load test takes requests without a session only", "[dispatch]") {
+  TimePoint now{std::chrono::hours(1)};
+  RolloutOrder order{ServiceId("s"), VersionId("v2"), milliseconds(20000), 7};
+  RolloutProgress progress{7,
+                           VersionId("v2"),
+                           milliseconds(100),
+                           milliseconds(100),
+                           kFirstSharePermille,
+                           RolloutPhase::kInProgress};
+  progress.load_test = {milliseconds(9000), milliseconds(10000), 1000, 1};
+  VersionPolicy policy(milliseconds(5000));
+  std::string session;
+  for (int i = 0; session.empty(); ++i) {
+    std::string name = "session-" + std::to_string(i);
+    session = GoesToCandidate(name, kFirstSharePermille) ? "" : name;
+  }
+  auto allows_candidate = [&](bool has_session, milliseconds time) {
+    return policy.RuleFor(&order, &progress, session, now + time, has_session)
+        .Allows(VersionId("v2"));
+  };
+  CHECK_FALSE(allows_candidate(false, milliseconds(500)));
+  policy.SetLoadTest(ServiceId("s"), LoadTestWindow{now + milliseconds(200),
+                                                    now + milliseconds(900)});
+  CHECK_FALSE(allows_candidate(false, milliseconds(100)));
+  CHECK(allows_candidate(false, milliseconds(500)));
+  CHECK_FALSE(allows_candidate(true, milliseconds(500)));
+  CHECK_FALSE(allows_candidate(false, milliseconds(900)));
+  CHECK(
+      policy.RuleFor(&order, &progress, session, now + milliseconds(500), false)
+          .max_endpoints == 1);
+  policy.Stop(ServiceId("s"), 7);
+  CHECK_FALSE(allows_candidate(false, milliseconds(500)));
+}
+
 TEST_CASE("a bad version is reverted and stays so", "[fleet]") {
   RolloutInputs inputs = Inputs(milliseconds(20000));
   inputs.progress = NextRolloutProgress(inputs);
@@ -233,11 +386,15 @@
 
 TEST_CASE("progress rows are read back", "[fleet]") {
   RolloutProgress progress{
-      7,   VersionId("v2"),        milliseconds(5), milliseconds(9),
-      300, RolloutPhase::kReverted};
+      7,   VersionId("v2"),         milliseconds(5), milliseconds(9),
+      300, RolloutPhase::kReverted, std::nullopt};
   auto read = DecodeRolloutProgress(EncodeRolloutProgress(progress));
   REQUIRE(read.has_value());
   CHECK(*read == progress);
+  progress.load_test = {milliseconds(5), milliseconds(900), 140, 2};
+  read = DecodeRolloutProgress(EncodeRolloutProgress(progress));
+  REQUIRE(read.has_value());
+  CHECK(*read == progress);
   CHECK_FALSE(DecodeRolloutProgress("{\"state\":0}").has_value());
   CHECK_FALSE(DecodeRolloutProgress("\xff").has_value());
 }
