Answer every request before a planned stop ends

In a planned stop, requests that were waiting or repeated could be sent at any time, and those in progress at the end were cut without an answer. A stream to an HTTP/1.0 caller ended as if it were complete. With a grace period of 3 s, nothing was refused before the end.

The steps of a stop are a schedule of their own that fits into any grace period. Requests that have not run are refused once the instance refuses; one that may run once is refused at once if its deadline is after the stop. At the end, requests get 502 with 'unknown' or 503, and streams are reset. A connection that is given up for silence is reset as well.

--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -53,8 +54,12 @@
   RolloutEvidence& evidence() { return evidence_; }
   void SetInstanceCount(int count);
   void OnEndpointRemoved(const EndpointId& endpoint);
-  // Refuses every further request and reports it as not run.
+  // Refuses every further request, and those that wait, as not run.
   void RefuseNewRequests() { refusing_ = true; }
+  // Nothing is sent from now on that could not be answered until then.
+  void SetStopTime(TimePoint time) { stop_at_ = time; }
+  // Answers all requests in progress with an error, and breaks off responses.
+  void EndRequests();
   // Whether the repeat budget of the service allows one more repeat.
   bool HasRoomForRepeat(const ServiceId& service) {
     return repeats_.AllowsRepeat(service, transport_->Now());
@@ -128,6 +133,8 @@
                    std::string_view reason,
                    AttemptResult result = AttemptResult::kBroken,
                    std::string_view evidence = {});
+  // Whether the request can be sent before a planned stop.
+  bool FitsBeforeStop(const Exchange& exchange) const;
   // Whether the request may be sent to one more endpoint.
   bool MayRepeat(const Exchange& exchange) const;
   // Whether the attempt in progress, which may have run, may be given up for
@@ -227,6 +234,7 @@
   const std::chrono::milliseconds connect_timeout_;
   CallerServer* server_ = nullptr;
   bool refusing_ = false;
+  std::optional<TimePoint> stop_at_;
   HttpClient client_;
   EndpointPool pool_;
   RepeatBudget repeats_;
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -482,6 +482,25 @@
   GiveUp(exchange, 504, "deadline", "deadline");
 }
 
+void Forwarder::EndRequests() {
+  std::vector<ConnectionId> callers;
+  for (const auto& entry : exchanges_) {
+    callers.push_back(entry.second.caller);
+  }
+  for (ConnectionId caller : callers) {
+    Exchange* exchange = Find(caller);
+    if (exchange == nullptr) {
+      continue;
+    }
+    if (exchange->attempt.has_value()) {
+      exchange->runs += client_.IsSent(exchange->attempt->call) ? 1 : 0;
+      exchange->failure_detail = "shutting_down";
+      EndAttempt(exchange, AttemptResult::kCancelled);
+    }
+    GiveUp(exchange, 502, "shutting_down", "shutting_down");
+  }
+}
+
 void Forwarder::Refuse(Exchange* exchange,
                        int status,
                        std::string_view code,
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -127,6 +127,10 @@
     GiveUp(exchange, 504, "deadline", "deadline");
     return;
   }
+  if (!FitsBeforeStop(*exchange)) {
+    GiveUp(exchange, 502, "shutting_down", "shutting_down");
+    return;
+  }
   if (!AdmitExchange(exchange)) {
     return;
   }
@@ -215,7 +219,7 @@
 }
 
 std::string Forwarder::EncodeAttemptHead(const Exchange& exchange,
-                                     const RoutedEndpoint& endpoint) const {
+                                         const RoutedEndpoint& endpoint) const {
   EndpointFields fields;
   fields.time_left = std::max(
       duration_cast<milliseconds>(exchange.deadline - transport_->Now()),
@@ -234,7 +238,8 @@
   bool has_length = !exchange.body->empty() || head.method == "POST" ||
                     head.method == "PUT" || head.method == "PATCH";
   if (has_length) {
-    head.headers.Add("Content-Length", fmt::format("{}", exchange.body->size()));
+    head.headers.Add("Content-Length",
+                     fmt::format("{}", exchange.body->size()));
   }
   return SerializeRequestHead(head);
 }
@@ -274,6 +279,18 @@
          exchange.deadline - transport_->Now() >= kMinTimeLeft;
 }
 
+bool Forwarder::FitsBeforeStop(const Exchange& exchange) const {
+  if (!stop_at_.has_value()) {
+    return true;
+  }
+  if (exchange.runs == 0) {
+    // Refused as not run, it can go to another instance at once.
+    return !refusing_ &&
+           (exchange.route->repeatable() || exchange.deadline <= *stop_at_);
+  }
+  return transport_->Now() + exchange.route->objective <= *stop_at_;
+}
+
 bool Forwarder::MayReplaceAttempt(const Exchange& exchange) const {
   return exchange.attempt.has_value() && exchange.route->repeatable() &&
          exchange.runs + 1 < exchange.route->max_attempts;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -24,18 +24,6 @@
 // Fraction of configuration_apply_ms after which a configuration counts as
 // stale: what it lacks may be in force on other instances.
 constexpr double kMaxConfigurationAgeFraction = 0.9;
-// Idle connections are closed this long after SIGTERM. New connections arrive
-// until then: readiness checks run once a second, and two failures take the
-// instance out of service.
-constexpr milliseconds kCloseIdleDelay{2200};
-// Requests are refused from this time after SIGTERM, as they might not finish
-// before the process is killed.
-constexpr milliseconds kRefuseDelay{2900};
-// Minimum time from SIGTERM to exit, so that late requests are still refused
-// properly.
-constexpr milliseconds kMinShutdownTime{3300};
-// The process exits this long before it would be killed.
-constexpr milliseconds kShutdownMargin{500};
 constexpr std::size_t kBytesPerKilobyte = 1024;
 
 milliseconds Seconds(double seconds) {
@@ -338,24 +326,29 @@
   }
   shutdown_at_ = transport_->Now();
   shutdown_done_ = std::move(done);
+  shutdown_schedule_ = MakeShutdownSchedule(Seconds(settings_.shutdown_s));
   caller_server_.BeginClosing();
+  forwarder_.SetStopTime(*shutdown_at_ + shutdown_schedule_.end_requests);
   log_->Write(EventId::kGatewayDraining,
               fmt::format("in_progress={}", forwarder_.in_progress()));
 }
 
 void Gateway::CheckShutdown() {
   auto elapsed = transport_->Now() - *shutdown_at_;
-  milliseconds limit = Seconds(settings_.shutdown_s) - kShutdownMargin;
-  if (elapsed >= kCloseIdleDelay) {
+  const ShutdownSchedule& schedule = shutdown_schedule_;
+  if (elapsed >= schedule.close_idle) {
     caller_server_.CloseIdle();
   }
-  if (elapsed >= kRefuseDelay) {
+  if (elapsed >= schedule.refuse) {
     forwarder_.RefuseNewRequests();
   }
+  if (elapsed >= schedule.end_requests) {
+    forwarder_.EndRequests();
+  }
   bool idle = forwarder_.in_progress() == 0 &&
               !caller_server_.AwaitsFirstRequest() &&
               transport_->ClosingCount() == 0;
-  if (elapsed >= limit || (idle && elapsed >= kMinShutdownTime)) {
+  if (elapsed >= schedule.exit || (idle && elapsed >= schedule.earliest_exit)) {
     log_->Write(
         EventId::kGatewayStopped,
         fmt::format("in_progress={} closing={}", forwarder_.in_progress(),
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "src/gateway/peer_exchange.h"
 #include "src/gateway/quarantine_store.h"
 #include "src/gateway/rollout_control.h"
+#include "src/gateway/shutdown_schedule.h"
 #include "src/gateway/store_writer.h"
 #include "src/gateway/view_source.h"
 
@@ -124,6 +125,7 @@
   int instance_count_ = 1;
   bool was_ready_ = false;
   std::optional<TimePoint> shutdown_at_;
+  ShutdownSchedule shutdown_schedule_;
   std::function<void()> shutdown_done_;
 };
 
--- a/src/net/tcp_loop.cc
+++ b/src/net/tcp_loop.cc
@@ -110,6 +110,15 @@
       timer_(context_),
       signals_(context_) {}
 
+TcpLoop::~TcpLoop() {
+  for (auto& entry : connections_) {
+    // As for each connection that ends before all its bytes are sent.
+    if (!entry.second->unsent.empty()) {
+      SetReset(entry.second.get());
+    }
+  }
+}
+
 void TcpLoop::Listen(const std::string& address, AcceptListener* listener) {
   tcp::endpoint endpoint = ParseAddress(address);
   auto entry = std::make_unique<Listener>(context_);
@@ -401,11 +410,11 @@
 
 void TcpLoop::KeepSendLimit() {
   while (held_bytes_ > send_limit_) {
-    auto most = std::max_element(
-        connections_.begin(), connections_.end(),
-        [](const auto& a, const auto& b) {
-          return a.second->held_bytes < b.second->held_bytes;
-        });
+    auto most =
+        std::max_element(connections_.begin(), connections_.end(),
+                         [](const auto& a, const auto& b) {
+                           return a.second->held_bytes < b.second->held_bytes;
+                         });
     ConnectionId id{most->first};
     Connection* connection = most->second.get();
     connection->unsent.Clear();
@@ -488,9 +497,7 @@
 
 std::size_t TcpLoop::UnsentBytes(ConnectionId id) const {
   auto found = connections_.find(Number(id));
-  return found == connections_.end()
-             ? 0
-             : found->second->unsent.size();
+  return found == connections_.end() ? 0 : found->second->unsent.size();
 }
 
 void TcpLoop::Close(ConnectionId id) {
@@ -550,6 +557,10 @@
     BeginClose(id, connection);
     connection->peer_finished = true;
   } else {
+    if (end == ConnectionEnd::kSilent) {
+      // A peer that comes back must not take what it has for the whole.
+      SetReset(connection);
+    }
     Remove(id);
   }
   if (!closing) {
--- a/src/net/tcp_loop.h
+++ b/src/net/tcp_loop.h
@@ -27,12 +27,13 @@
   // A peer of an accepted connection may pause reading for longer if it still
   // acknowledges.
   explicit TcpLoop(std::chrono::milliseconds silence_timeout);
+  ~TcpLoop() override;
   TcpLoop(const TcpLoop&) = delete;
   TcpLoop& operator=(const TcpLoop&) = delete;
 
-  // Limits the bytes that all peers of accepted connections, and of closed ones,
-  // have yet to read. Beyond it, the connection with the most is reset. No limit
-  // by default.
+  // Limits the bytes that all peers of accepted connections, and of closed
+  // ones, have yet to read. Beyond it, the connection with the most is reset.
+  // No limit by default.
   void SetSendLimit(std::size_t bytes) { send_limit_ = bytes; }
   // Accepts connections on "ip:port" until the loop ends. Throws
   // boost::system::system_error if the address cannot be bound.
--- a/tests/unit/gateway/planned_stop_test.cc
+++ b/tests/unit/gateway/planned_stop_test.cc
@@ -8,6 +8,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using Arrival = ForwarderFixture::Arrival;
 
 constexpr char kRequest[] =
     "POST /once/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
@@ -78,5 +79,93 @@
   }
 }
 
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+// Guards against steps out of order, and against a grace period that is shorter
+// than the usual steps.
+TEST_CASE("the steps of a stop fit into its time", "[gateway]") {
+  for (int grace : {500, 1000, 2000, 3000, 5000, 8000, 30000}) {
+    INFO(grace);
+    ShutdownSchedule schedule = MakeShutdownSchedule(milliseconds(grace));
+    CHECK(schedule.close_idle.count() > 0);
+    CHECK(schedule.close_idle < schedule.refuse);
+    CHECK(schedule.refuse <= schedule.end_requests / 2);
+    CHECK(schedule.earliest_exit <= schedule.end_requests);
+    CHECK(schedule.end_requests < schedule.exit);
+    CHECK(schedule.exit < milliseconds(grace));
+  }
+}
+
+// Guards against a request that may run once and is cut at the end of a stop.
+TEST_CASE("a request that cannot be answered before a stop is refused",
+          "[gateway]") {
+  ForwarderFixture f;
+  f.forwarder.SetStopTime(f.transport.Now() + milliseconds(700));
+  ConnectionId late = f.Request("POST", "/once/x", "r1", "", "b");
+  std::string response = f.transport.TakeSent(late);
+  CHECK(Contains(response, "HTTP/1.1 503"));
+  CHECK(Contains(response, "\"not_run\""));
+  CHECK(f.NothingArrives(milliseconds(20)));
+  ConnectionId early = f.Request("POST", "/once/x", "r2",
+                                 "Filbertshift-Deadline-Ms: 500\r\n", "b");
+  f.Respond(f.NextArrival(), ForwarderFixture::WholeResponse(200, "r2", "ok"));
+  CHECK(Contains(f.transport.TakeSent(early), "HTTP/1.1 200"));
+}
+
+// Guards against a request that waits for an endpoint and is sent late in a
+// stop.
+TEST_CASE("a waiting request is refused once a stop refuses", "[gateway]") {
+  ForwarderFixture f(0);
+  ConnectionId caller = f.Request("POST", "/stream/x", "r1", "", "b");
+  f.forwarder.SetStopTime(f.transport.Now() + milliseconds(5000));
+  CHECK(f.transport.TakeSent(caller).empty());
+  f.forwarder.RefuseNewRequests();
+  f.transport.Advance(milliseconds(30));
+  std::string response = f.transport.TakeSent(caller);
+  CHECK(Contains(response, "HTTP/1.1 503"));
+  CHECK(Contains(response, "\"shutting_down\""));
+  CHECK(Contains(response, "\"not_run\""));
+}
+
+// Guards against an exit that closes connections without an answer.
+TEST_CASE("requests in progress are answered at the end of a stop",
+          "[gateway]") {
+  ForwarderFixture f;
+  ConnectionId once = f.Request("POST", "/once/x", "r1", "", "b");
+  f.NextArrival();
+  ConnectionId stream = f.Request("POST", "/stream/x", "r2", "", "b");
+  Arrival begun = f.NextArrival();
+  f.Respond(begun,
+            ForwarderFixture::StreamHead("r2") + ForwarderFixture::Event(1));
+  f.server.BeginClosing();
+  f.forwarder.EndRequests();
+  std::string response = f.transport.TakeSent(once);
+  CHECK(Contains(response, "HTTP/1.1 502"));
+  CHECK(Contains(response, "\"unknown\""));
+  // The caller sees that its stream is incomplete.
+  CHECK_FALSE(Contains(f.transport.TakeSent(stream), std::string(kLastChunk)));
+  CHECK(f.transport.At(stream).aborted);
+  CHECK(f.forwarder.in_progress() == 0);
+}
+
+// Guards against a stream without a length or chunks that ends as if it were
+// complete.
+TEST_CASE("a stop resets the stream of an HTTP/1.0 caller", "[gateway]") {
+  ForwarderFixture f;
+  ConnectionId caller = f.transport.Accept(&f.server);
+  f.transport.Receive(caller,
+                      "POST /stream/x HTTP/1.0\r\nHost: h.example\r\n"
+                      "Authorization: Bearer k1\r\n"
+                      "Filbertshift-Attempt-Id: r1\r\n"
+                      "Content-Length: 1\r\n\r\nb");
+  f.Respond(f.NextArrival(),
+            ForwarderFixture::StreamHead("r1") + ForwarderFixture::Event(1));
+  CHECK(Contains(f.transport.TakeSent(caller), "data: d1"));
+  f.forwarder.EndRequests();
+  CHECK(f.transport.At(caller).aborted);
+}
+
 }  // namespace
 }  // namespace filbertshift
