--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -165,8 +165,7 @@
     std::string body = std::move(connection->body);
     connection->keep_alive = connection->parser.keep_alive();
     connection->accepts_chunks = connection->parser.accepts_chunks();
-    connection->request_memory =
-        ArrivingMemory(*connection) + body.capacity();
+    connection->request_memory = ArrivingMemory(*connection) + body.capacity();
     ResetRequest(connection);
     connection->in_request = true;
     transport_->Cancel(connection->timer);
@@ -392,8 +391,8 @@
   }
   transport_->Send(id, message);
   if (!has_no_body && !joined) {
-    transport_->SendShared(id,
-                           std::make_shared<const std::string>(std::move(body)));
+    transport_->SendShared(
+        id, std::make_shared<const std::string>(std::move(body)));
   }
   FinishResponse(id, connection);
 }
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -72,9 +72,7 @@
   bool AwaitsFirstRequest() const;
 
   // Adds the framing header fields; `head` must not contain any.
-  void Respond(ConnectionId caller,
-               HttpResponseHead head,
-               std::string body);
+  void Respond(ConnectionId caller, HttpResponseHead head, std::string body);
   void BeginStream(ConnectionId caller, HttpResponseHead head);
   void SendStream(ConnectionId caller, std::string_view data);
   void EndStream(ConnectionId caller);
--- a/src/gateway/http_client.cc
+++ b/src/gateway/http_client.cc
@@ -97,9 +97,8 @@
       continue;
     }
     const std::vector<std::uint64_t>& carried = connection->request_ids;
-    if (request_id.has_value() &&
-        std::find(carried.begin(), carried.end(), *request_id) !=
-            carried.end()) {
+    if (request_id.has_value() && std::find(carried.begin(), carried.end(),
+                                            *request_id) != carried.end()) {
       passed_over.push_back(id);
       continue;
     }
@@ -117,17 +116,15 @@
                          std::string message,
                          milliseconds max_idle,
                          CallListener* listener) {
-  return Start(
-      {address, std::move(message), nullptr, max_idle, std::string()},
-      listener);
+  return Start({address, std::move(message), nullptr, max_idle, std::string()},
+               listener);
 }
 
 CallId HttpClient::Start(HttpCall request, CallListener* listener) {
   CallId call{++last_call_};
   std::optional<std::uint64_t> id_hash;
   if (!request.request_id.empty()) {
-    id_hash =
-        XXH64(request.request_id.data(), request.request_id.size(), 0);
+    id_hash = XXH64(request.request_id.data(), request.request_id.size(), 0);
   }
   ConnectionId id = TakeIdle(request.address, request.max_idle, id_hash);
   if (id == ConnectionId{}) {
--- a/tests/unit/common/request_memory_test.cc
+++ b/tests/unit/common/request_memory_test.cc
@@ -14,7 +14,8 @@
 constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
 constexpr std::size_t kLimit = 100 * kMegabyte;
 
-// Guards against a sum that exceeds the limit, or that drifts from what is held.
+// Guards against a sum that exceeds the limit, or that drifts from what is
+// held.
 TEST_CASE("the memory of requests stays within its limit", "[common]") {
   for (unsigned seed = 1; seed <= 50; ++seed) {
     INFO("seed " << seed);
--- a/tests/unit/gateway/caller_server_test.cc
+++ b/tests/unit/gateway/caller_server_test.cc
@@ -331,8 +331,7 @@
   CHECK(Contains(f.transport.TakeSent(caller), "200 OK"));
 }
 
-TEST_CASE("memory returns with the response or the caller's end",
-          "[gateway]") {
+TEST_CASE("memory returns with the response or the caller's end", "[gateway]") {
   MemoryFixture f;
   f.Fill();
   f.server.Respond(f.running[0], Ok(), "ok");
--- a/tests/unit/gateway/low_confidence_test.cc
+++ b/tests/unit/gateway/low_confidence_test.cc
@@ -30,8 +30,8 @@
 TEST_CASE("an answer that cannot be replaced is kept at low confidence",
           "[gateway]") {
   ForwarderFixture f(2);
-  ConnectionId caller =
-      f.Request("POST", "/sized-once/x", "r1", "Filbertshift-Model: *\r\n", "b");
+  ConnectionId caller = f.Request("POST", "/sized-once/x", "r1",
+                                  "Filbertshift-Model: *\r\n", "b");
   Arrival arrival = f.NextArrival();
   f.Respond(arrival, HeadWithConfidence(30) + WholeStream());
   std::string response = f.transport.TakeSent(caller);
--- a/tests/unit/gateway/refusal_copy_test.cc
+++ b/tests/unit/gateway/refusal_copy_test.cc
@@ -262,8 +262,7 @@
 }
 
 // Guards against memory that grows with the age of a connection.
-TEST_CASE("a connection ends after a bounded number of requests",
-          "[gateway]") {
+TEST_CASE("a connection ends after a bounded number of requests", "[gateway]") {
   ForwarderFixture f(1);
   constexpr int kMaxRequests = 1024;
   std::set<std::uint64_t> connections;
