Let an endpoint pause while it reads an upload

An endpoint that stops reading for a second or two while a large upload is under way was cut by the kernel after 1.5 s, although it acknowledges: its caller got 502, or no more than one attempt's error.

TCP_USER_TIMEOUT counts a closed window as silence. The loop's own check, which asks for acknowledgements, was used for callers only; it is used for all connections now, where the system tells what it needs.

Red without the change: 'a peer that pauses reading gets the whole upload'.

--- a/src/net/tcp_loop.cc
+++ b/src/net/tcp_loop.cc
@@ -69,6 +69,15 @@
   return info;
 }
 
+// TCP_USER_TIMEOUT also ends connections whose peer acknowledges but does not
+// read for a while. It stays where the system does not tell what
+// CheckAcknowledgements needs.
+void UseOwnSilenceCheck(int descriptor) {
+  if (TcpInfo(descriptor).has_value()) {
+    SetTcpOption(descriptor, TCP_USER_TIMEOUT, 0);
+  }
+}
+
 bool WouldBlock(const error_code& error) {
   return error == asio::error::would_block || error == asio::error::try_again ||
          error == asio::error::interrupted;
@@ -108,7 +117,9 @@
     : silence_timeout_(silence_timeout),
       context_(1),
       timer_(context_),
-      signals_(context_) {}
+      signals_(context_) {
+  CheckAcknowledgements();
+}
 
 TcpLoop::~TcpLoop() {
   for (auto& entry : connections_) {
@@ -128,9 +139,6 @@
   entry->acceptor.bind(endpoint);
   entry->acceptor.listen(kListenBacklog);
   entry->acceptor.non_blocking(true);
-  if (listeners_.empty()) {
-    CheckAcknowledgements();
-  }
   listeners_.push_back(std::move(entry));
   Accept(listeners_.back().get());
 }
@@ -152,9 +160,7 @@
         held->accepted = true;
         held->connected = true;
         SetOptions(&held->socket);
-        if (TcpInfo(held->socket.native_handle()).has_value()) {
-          SetTcpOption(held->socket.native_handle(), TCP_USER_TIMEOUT, 0);
-        }
+        UseOwnSilenceCheck(held->socket.native_handle());
         ConnectionId id = Add(std::move(held));
         listener->listener->OnAccepted(id);
         WaitToRead(id);
@@ -181,7 +187,7 @@
   TimePoint now = Now();
   std::vector<ConnectionId> silent;
   for (auto& [number, connection] : connections_) {
-    if (!connection->accepted || !connection->unacknowledged) {
+    if (!connection->connected || !connection->unacknowledged) {
       continue;
     }
     std::optional<tcp_info> info = TcpInfo(connection->socket.native_handle());
@@ -284,6 +290,7 @@
   }
   Cancel(connection->timer);
   connection->connected = true;
+  UseOwnSilenceCheck(connection->socket.native_handle());
   connection->listener->OnConnected(id);
   WaitToRead(id);
   Flush(id);
--- a/src/net/tcp_loop.h
+++ b/src/net/tcp_loop.h
@@ -24,8 +24,7 @@
 class TcpLoop : public Transport {
  public:
   // A connection ends when the peer acknowledges nothing for `silence_timeout`.
-  // A peer of an accepted connection may pause reading for longer if it still
-  // acknowledges.
+  // A peer may pause reading for longer if it still acknowledges.
   explicit TcpLoop(std::chrono::milliseconds silence_timeout);
   ~TcpLoop() override;
   TcpLoop(const TcpLoop&) = delete;
--- a/tests/unit/net/tcp_loop_test.cc
+++ b/tests/unit/net/tcp_loop_test.cc
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <optional>
+#include <thread>
 
 #include "src/net/tcp_loop.h"
 #include "tests/unit/support/loopback.h"
@@ -115,5 +116,37 @@
   CHECK_FALSE(loop.HasUnreadData(id));
 }
 
+// Guards against a sound endpoint that is cut because it pauses reading an
+// upload.
+TEST_CASE("a peer that pauses reading gets the whole upload", "[net]") {
+  constexpr std::size_t kUploadBytes = std::size_t{16} * 1024 * 1024;
+  TestSocket server = ListenOnLoopback();
+  TcpLoop loop(milliseconds(1000));
+  Recorder recorder;
+  ConnectionId id =
+      loop.Connect(fmt::format("127.0.0.1:{}", LocalPortOf(server)),
+                   milliseconds(500), &recorder);
+  RunFor(&loop, milliseconds(20));
+  TestSocket peer = AcceptFrom(server, milliseconds(500));
+  REQUIRE(recorder.connected);
+  loop.Send(id, std::string(kUploadBytes, 'u'));
+  RunFor(&loop, milliseconds(3000));
+  CHECK(loop.UnsentBytes(id) > 0);
+  std::size_t received = 0;
+  std::thread reader([&] {
+    while (received < kUploadBytes) {
+      std::size_t size = peer.ReadSome(milliseconds(1000)).size();
+      if (size == 0) {
+        break;
+      }
+      received += size;
+    }
+  });
+  RunFor(&loop, milliseconds(1500));
+  reader.join();
+  CHECK(received == kUploadBytes);
+  CHECK_FALSE(recorder.end.has_value());
+}
+
 }  // namespace
 }  // namespace filbertshift
