Keep an answer that a stop leaves no time to replace

Shortly before the end of a planned stop, an answer of low confidence was dropped for a larger model's, and the second run was then refused for want of time: its caller would have got 502. MayReplaceAttempt asks for the time.

Test: 'an answer of low confidence is kept shortly before a stop'; it was not run against the code before.

--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -135,6 +135,8 @@
                    std::string_view evidence = {});
   // Whether the request can be sent before a planned stop.
   bool FitsBeforeStop(const Exchange& exchange) const;
+  // Whether another run of it can be answered before a planned stop.
+  bool HasTimeToRepeat(const Exchange& exchange) const;
   // Whether the request may be sent to one more endpoint.
   bool MayRepeat(const Exchange& exchange) const;
   // Whether the attempt in progress, which may have run, may be given up for
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -288,12 +288,18 @@
     return !refusing_ &&
            (exchange.route->repeatable() || exchange.deadline <= *stop_at_);
   }
-  return transport_->Now() + exchange.route->objective <= *stop_at_;
+  return HasTimeToRepeat(exchange);
+}
+
+bool Forwarder::HasTimeToRepeat(const Exchange& exchange) const {
+  return !stop_at_.has_value() ||
+         transport_->Now() + exchange.route->objective <= *stop_at_;
 }
 
 bool Forwarder::MayReplaceAttempt(const Exchange& exchange) const {
   return exchange.attempt.has_value() && exchange.route->repeatable() &&
-         exchange.runs + 1 < exchange.route->max_attempts;
+         exchange.runs + 1 < exchange.route->max_attempts &&
+         HasTimeToRepeat(exchange);
 }
 
 void Forwarder::Repeat(Exchange* exchange, std::string_view reason) {
--- a/tests/unit/gateway/planned_stop_test.cc
+++ b/tests/unit/gateway/planned_stop_test.cc
@@ -129,6 +129,20 @@
   CHECK(Contains(response, "\"not_run\""));
 }
 
+// Guards against dropping an answer for a run that would not end in time.
+TEST_CASE("an answer of low confidence is kept shortly before a stop",
+          "[gateway]") {
+  ForwarderFixture f;
+  ConnectionId caller =
+      f.Request("POST", "/sized/x", "r1", "Filbertshift-Model: *\r\n", "b");
+  Arrival arrival = f.NextArrival();
+  f.forwarder.SetStopTime(f.transport.Now() + milliseconds(1500));
+  f.Respond(arrival, ForwarderFixture::StreamHead(
+                         "r1", "Filbertshift-Confidence: 30\r\n") +
+                         ForwarderFixture::Event(1) + std::string(kLastChunk));
+  CHECK(Contains(f.transport.TakeSent(caller), "data: d1"));
+}
+
 // Guards against an exit that closes connections without an answer.
 TEST_CASE("requests in progress are answered at the end of a stop",
           "[gateway]") {
