Let the soak's endpoints be unruly, silent and without end

The soak could not show the reported faults: its endpoints were never full, wrote no response twice, never failed with a status that promises not to have run, and sealed responses were left out of the check.

For some seconds of each round most endpoints, or all, now have two places, refuse half of the requests (503, 429, 421, 400, one in ten without an id), write 3 in 10 refusals and answers once more where the next response is expected, fail with sealed 503, 429 and 408, and answer without end in nine ways. An endpoint falls silent for about a second. New checks: sealed refusals count; streams that may not be resumed run once; a stream goes on at one endpoint at a time (400 ms); each instance stays within memory_mb (128). The number of endpoints can be chosen, as refusals come back to an endpoint only where few are left. memory_bench has a mode with endless answers.

--- a/tests/bench/memory_bench.cc
+++ b/tests/bench/memory_bench.cc
@@ -1,8 +1,9 @@
 // Measures the peak memory of filbertshift-gatewayd under the worst mix of
 // callers: large bodies of known and unknown length, bytes behind a running
-// request, heads that never end, and answers that nobody reads. The endpoint
-// answers nothing but large answers. Not run in CI. Exit status 1: the process
-// exceeded its memory or ended.
+// request, heads that never end, and answers that nobody reads. With "endless",
+// under answers of the endpoint that never end, beside small requests that it
+// answers. Not run in CI. Exit status 1: the process exceeded its memory or
+// ended, or a small request was not answered.
 
 #include <fmt/format.h>
 #include <sys/socket.h>
@@ -10,14 +11,17 @@
 #include <algorithm>
 #include <cstdio>
 #include <fstream>
+#include <map>
 #include <memory>
 #include <sstream>
 #include <string>
 #include <vector>
 
 #include "src/gateway/caller_server.h"
+#include "src/gateway/http_client.h"
 #include "src/net/net.h"
 #include "tests/process/child_process.h"
+#include "tests/soak/endless_answer.h"
 #include "tests/unit/gateway/stand_ins.h"
 
 namespace filbertshift {
@@ -27,6 +31,11 @@
 
 constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
 constexpr int kMemoryMb = 256;
+constexpr int kEndlessMemoryMb = 380;
+constexpr int kEndlessCallers = 200;
+constexpr milliseconds kEndlessInterval{5};
+constexpr std::size_t kMaxEndlessUnsent = kMegabyte;
+constexpr milliseconds kSmallInterval{20};
 constexpr int kCallersOfEachKind = 120;
 constexpr std::size_t kBodyBytes = 4000000;
 constexpr std::size_t kAnswerBytes = 8 * kMegabyte;
@@ -34,30 +43,107 @@
 constexpr milliseconds kRunTime{12000};
 constexpr milliseconds kSampleInterval{20};
 
-// Answers requests for /big/ at once, and all others never.
+// Answers requests for /big/ and /small/ at once, those for /endless/KIND
+// without end, and all others never.
 class LargeEndpoint : public HttpRequestHandler {
  public:
-  explicit LargeEndpoint(Transport* transport) : server_(transport, this) {}
+  explicit LargeEndpoint(Transport* transport)
+      : transport_(transport), server_(transport, this) {}
   AcceptListener* listener() { return &server_; }
 
   void OnRequest(ConnectionId caller,
                  HttpRequestHead head,
                  std::string /*body*/) override {
-    if (head.target.rfind("/big/", 0) != 0) {
+    const std::string& id = *head.headers.Find("Filbertshift-Attempt-Id");
+    if (head.target.rfind(kEndless, 0) == 0) {
+      EndlessAnswer answer = MakeEndlessAnswer(
+          static_cast<unsigned>(std::stoi(head.target.substr(kEndless.size()))),
+          fmt::format("Filbertshift-Attempt-Id: {}\r\n"
+                      "Filbertshift-Response-Seal: seal\r\n",
+                      id),
+          "whole");
+      transport_->Send(caller, answer.start);
+      SendWithoutEnd(caller, answer.part);
+      return;
+    }
+    bool small = head.target.rfind("/small/", 0) == 0;
+    if (!small && head.target.rfind("/big/", 0) != 0) {
       return;
     }
     HttpResponseHead response{200, "OK", {}};
-    response.headers.Add("Filbertshift-Attempt-Id",
-                         *head.headers.Find("Filbertshift-Attempt-Id"));
+    response.headers.Add("Filbertshift-Attempt-Id", id);
     response.headers.Add("Filbertshift-Response-Seal", "seal");
-    server_.Respond(caller, response, std::string(kAnswerBytes, 'a'));
+    server_.Respond(caller, response,
+                    std::string(small ? 1 : kAnswerBytes, 'a'));
+  }
+  void OnCallerDisconnected(ConnectionId caller,
+                            ConnectionEnd /*end*/) override {
+    auto found = timers_.find(caller);
+    if (found != timers_.end()) {
+      transport_->Cancel(found->second);
+      timers_.erase(found);
+    }
   }
-  void OnCallerDisconnected(ConnectionId /*caller*/,
-                            ConnectionEnd /*end*/) override {}
   void OnRejected(int /*status*/, std::string_view /*reason*/) override {}
 
  private:
+  static constexpr std::string_view kEndless = "/endless/";
+
+  void SendWithoutEnd(ConnectionId caller, const std::string& part) {
+    if (transport_->UnsentBytes(caller) < kMaxEndlessUnsent) {
+      transport_->Send(caller, part);
+    }
+    timers_[caller] = transport_->After(kEndlessInterval, [this, caller, part] {
+      SendWithoutEnd(caller, part);
+    });
+  }
+
+  Transport* const transport_;
   CallerServer server_;
+  std::map<ConnectionId, TimerId> timers_;
+};
+
+// Sends a small request now and then, each on a new connection, and counts what
+// comes back.
+class SmallCaller : public CallListener {
+ public:
+  SmallCaller(Transport* transport, std::string address)
+      : transport_(transport),
+        address_(std::move(address)),
+        client_(transport, milliseconds(5000)) {}
+  void Start();
+  int sent() const { return sent_; }
+  int served() const { return served_; }
+  int failed() const { return failed_; }
+
+  HeadDecision OnHead(CallId /*call*/, const HttpResponseHead& head) override {
+    status_ = head.status;
+    return HeadDecision::kAcceptLast;
+  }
+  void OnBody(CallId /*call*/, std::string_view /*data*/) override {}
+  void OnComplete(CallId /*call*/) override {
+    (status_ == 200 ? served_ : failed_) += 1;
+    ScheduleNext();
+  }
+  void OnFailed(CallId /*call*/,
+                CallFailure /*failure*/,
+                std::string_view /*detail*/) override {
+    ++failed_;
+    ScheduleNext();
+  }
+
+ private:
+  void ScheduleNext() {
+    transport_->After(kSmallInterval, [this] { Start(); });
+  }
+
+  Transport* const transport_;
+  const std::string address_;
+  HttpClient client_;
+  int status_ = 0;
+  int sent_ = 0;
+  int served_ = 0;
+  int failed_ = 0;
 };
 
 // Sends a fixed message and counts the statuses of what comes back.
@@ -91,17 +177,6 @@
   bool ended_ = false;
 };
 
-std::int64_t PeakMemoryKb(pid_t pid) {
-  std::ifstream status(fmt::format("/proc/{}/status", pid));
-  std::string line;
-  while (std::getline(status, line)) {
-    if (line.rfind("VmHWM:", 0) == 0) {
-      return std::stoll(line.substr(6));
-    }
-  }
-  return 0;
-}
-
 // Bytes that have arrived at the port and are not read yet.
 std::int64_t UnreadBytes(int port) {
   std::ifstream table("/proc/net/tcp");
@@ -136,6 +211,26 @@
       path, number, more);
 }
 
+void SmallCaller::Start() {
+  ++sent_;
+  client_.Start(address_,
+                RequestHead("/small/x", -sent_, "Content-Length: 0\r\n"),
+                milliseconds(0), this);
+}
+
+std::vector<std::unique_ptr<RawCaller>> MakeEndlessCallers(
+    Transport* transport) {
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (int i = 0; i < kEndlessCallers; ++i) {
+    callers.push_back(
+        std::make_unique<RawCaller>(transport,
+                                    RequestHead(fmt::format("/endless/{}", i),
+                                                i + 1, "Content-Length: 0\r\n"),
+                                    nullptr));
+  }
+  return callers;
+}
+
 std::vector<std::unique_ptr<RawCaller>> MakeCallers(Transport* transport) {
   auto body = std::make_shared<const std::string>(kBodyBytes, 'b');
   auto chunked = std::make_shared<const std::string>(SerializeChunk(*body) +
@@ -166,7 +261,10 @@
   return callers;
 }
 
-int Measure(const std::string& program, const std::string& folder) {
+int Measure(const std::string& program,
+            const std::string& folder,
+            bool endless) {
+  int memory_mb = endless ? kEndlessMemoryMb : kMemoryMb;
   TcpLoop loop(milliseconds(60000));
   StandInStore store(&loop);
   LargeEndpoint endpoint(&loop);
@@ -176,15 +274,19 @@
   int caller_port = FreePort();
   loop.Listen(store_address, store.listener());
   loop.Listen(endpoint_address, endpoint.listener());
+  std::string routes;
+  for (const char* name : {"hold", "big", "small", "endless"}) {
+    routes +=
+        fmt::format(R"({}{{"name":"{}","host":"h","prefix":"/{}/",)"
+                    R"("route_kind":"non_idempotent","timeout_ms":20000,)"
+                    R"("objective_ms":8000,"service":"s","max_attempts":1}})",
+                    routes.empty() ? "" : ",", name, name);
+  }
   store.Put("op", "config",
-            R"({"version":1,"routes":[{"name":"hold","host":"h",)"
-            R"("prefix":"/hold/","route_kind":"non_idempotent",)"
-            R"("timeout_ms":20000,"objective_ms":8000,"service":"s",)"
-            R"("max_attempts":1},{"name":"big","host":"h","prefix":"/big/",)"
-            R"("route_kind":"non_idempotent","timeout_ms":20000,)"
-            R"("objective_ms":8000,"service":"s","max_attempts":1}],)"
-            R"("services":[{"name":"s"}],)"
-            R"("tenants":[{"name":"t","api_keys":["k"]}]})");
+            fmt::format(R"({{"version":1,"routes":[{}],)"
+                        R"("services":[{{"name":"s"}}],)"
+                        R"("tenants":[{{"name":"t","api_keys":["k"]}}]}})",
+                        routes));
   store.Put("servers", "w",
             fmt::format(R"({{"service":"s","address":"{}","zone":"a",)"
                         R"("version":"v1","slots":1000,"state":"ready",)"
@@ -196,13 +298,18 @@
       R"("readiness_listen":"{}","peer_listen":"{}","store_address":"{}",)"
       R"("memory_mb":{}}})",
       address_of(caller_port), address_of(FreePort()), address_of(FreePort()),
-      store_address, kMemoryMb);
+      store_address, memory_mb);
   ChildProcess gateway("memory_bench", folder,
                        {program, "--settings", settings});
   loop.After(kReadyTime, [&loop] { loop.Stop(); });
   loop.Run();
-  std::int64_t idle_kb = PeakMemoryKb(gateway.pid());
-  std::vector<std::unique_ptr<RawCaller>> callers = MakeCallers(&loop);
+  std::int64_t idle_kb = gateway.PeakMemoryKb();
+  std::vector<std::unique_ptr<RawCaller>> callers =
+      endless ? MakeEndlessCallers(&loop) : MakeCallers(&loop);
+  SmallCaller small(&loop, address_of(caller_port));
+  if (endless) {
+    small.Start();
+  }
   for (auto& caller : callers) {
     loop.Connect(address_of(caller_port), milliseconds(5000), caller.get());
   }
@@ -214,7 +321,7 @@
   sample();
   loop.After(kRunTime, [&loop] { loop.Stop(); });
   loop.Run();
-  std::int64_t peak_kb = PeakMemoryKb(gateway.pid());
+  std::int64_t peak_kb = gateway.PeakMemoryKb();
   bool running = !gateway.WaitExit(milliseconds(0)).has_value();
   auto count = [&callers](auto predicate) {
     return std::count_if(callers.begin(), callers.end(), predicate);
@@ -222,24 +329,27 @@
   std::printf(
       "%zu callers, %d refused, %d connections ended\n"
       "memory: %d MB allowed, %.1f MB idle, %.1f MB at the peak, %.1f MB "
-      "unread in sockets at most; running: %s\n",
+      "unread in sockets at most; running: %s\n"
+      "small requests: %d sent, %d served, %d failed\n",
       callers.size(),
       static_cast<int>(count([](const auto& c) { return c->refused(); })),
       static_cast<int>(count([](const auto& c) { return c->ended(); })),
-      kMemoryMb, static_cast<double>(idle_kb) / 1024,
+      memory_mb, static_cast<double>(idle_kb) / 1024,
       static_cast<double>(peak_kb) / 1024,
       static_cast<double>(unread) / static_cast<double>(kMegabyte),
-      running ? "yes" : "no");
-  return running && peak_kb > 0 && peak_kb / 1024 < kMemoryMb ? 0 : 1;
+      running ? "yes" : "no", small.sent(), small.served(), small.failed());
+  bool served = !endless || (small.served() > 0 && small.failed() == 0);
+  return running && served && peak_kb > 0 && peak_kb / 1024 < memory_mb ? 0 : 1;
 }
 
 }  // namespace
 }  // namespace filbertshift
 
 int main(int argc, char** argv) {
-  if (argc != 3) {
-    std::fprintf(stderr, "usage: memory_bench PROGRAM FOLDER\n");
+  bool endless = argc == 4 && std::string(argv[3]) == "endless";
+  if (argc != 3 && !endless) {
+    std::fprintf(stderr, "usage: memory_bench PROGRAM FOLDER [endless]\n");
     return 2;
   }
-  return filbertshift::Measure(argv[1], argv[2]);
+  return filbertshift::Measure(argv[1], argv[2], endless);
 }
--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -16,6 +16,7 @@
 #include <set>
 #include <sstream>
 #include <stdexcept>
+#include <string_view>
 #include <thread>
 
 extern char** environ;
@@ -142,6 +143,21 @@
       name_ + " did not print its address in time: " + ErrorOutput());
 }
 
+std::int64_t ChildProcess::PeakMemoryKb() const {
+  if (exit_status_.has_value()) {
+    return 0;
+  }
+  constexpr std::string_view kField = "VmHWM:";
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  std::string line;
+  while (std::getline(status, line)) {
+    if (line.rfind(kField, 0) == 0) {
+      return std::stoll(line.substr(kField.size()));
+    }
+  }
+  return 0;
+}
+
 std::string ChildProcess::Output() const {
   return ReadFile(output_file_);
 }
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -6,6 +6,7 @@
 #include <sys/types.h>
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -43,6 +44,8 @@
                           std::chrono::milliseconds timeout);
 
   pid_t pid() const { return pid_; }
+  // Most memory that the process has had resident; 0 if it has ended.
+  std::int64_t PeakMemoryKb() const;
   std::string Output() const;
   std::string ErrorOutput() const;
   const std::string& error_file() const { return error_file_; }
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -25,7 +25,8 @@
 };
 constexpr RequestKind kRequestKinds[] = {{SoakKind::kNonIdempotent, "/once/"},
                                          {SoakKind::kIdempotent, "/again/"},
-                                         {SoakKind::kStream, "/stream/"}};
+                                         {SoakKind::kStream, "/stream/"},
+                                         {SoakKind::kStreamOnce, "/tale/"}};
 
 }  // namespace
 
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -52,6 +52,8 @@
   add("seed", po::value(&options.seed)->default_value(1), "seed of the faults");
   add("seconds", po::value(&fault_duration_s)->default_value(30),
       "duration of fault injection in seconds");
+  add("endpoints", po::value(&options.endpoints)->default_value(6),
+      "number of endpoints");
   try {
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, description), values);
--- a/tests/soak/soak_record.cc
+++ b/tests/soak/soak_record.cc
@@ -15,6 +15,10 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+bool RunsOnce(SoakKind kind) {
+  return kind == SoakKind::kNonIdempotent || kind == SoakKind::kStreamOnce;
+}
+
 }  // namespace
 
 std::string SoakResponseBody(const std::string& id) {
@@ -31,24 +35,50 @@
 
 void SoakRecord::OnExecution(const std::string& id,
                              std::string_view detail,
-                             TimePoint now) {
+                             TimePoint now,
+                             const std::string& endpoint) {
   auto found = requests_.find(id);
   if (found == requests_.end()) {
     ReportViolation("no request runs that no caller sent", id);
     return;
   }
   SoakRequest& request = found->second;
-  request.execution_times.push_back(now);
+  request.executions.push_back({endpoint, now, std::nullopt});
   if (!detail.empty()) {
     ReportViolation("the endpoint gets the request unchanged",
                     fmt::format("{}: {}", id, detail));
   }
-  if (request.kind == SoakKind::kNonIdempotent &&
-      request.execution_times.size() > 1) {
+  if (RunsOnce(request.kind) && request.executions.size() > 1) {
     ReportViolation("a request that cannot be repeated runs once", id);
   }
 }
 
+void SoakRecord::OnExecutionEnded(const std::string& id,
+                                  const std::string& endpoint,
+                                  TimePoint now) {
+  auto found = requests_.find(id);
+  if (found == requests_.end()) {
+    return;
+  }
+  SoakRequest& request = found->second;
+  for (std::size_t i = 0; i < request.executions.size(); ++i) {
+    SoakExecution& execution = request.executions[i];
+    if (execution.endpoint != endpoint || execution.ended_at.has_value()) {
+      continue;
+    }
+    execution.ended_at = now;
+    bool is_last = i + 1 == request.executions.size();
+    // An idempotent request may run at several endpoints.
+    if (!is_last && request.kind != SoakKind::kIdempotent &&
+        now > request.executions[i + 1].started_at + kSoakMaxOverlap &&
+        !IsExcused(request.instance, endpoint, now)) {
+      ReportViolation("a stream goes on at one endpoint at a time",
+                      fmt::format("{} at {}", id, endpoint));
+    }
+    return;
+  }
+}
+
 void SoakRecord::OnResponse(const std::string& id,
                             int status,
                             bool sealed,
@@ -78,7 +108,8 @@
   }
   if (!request.sealed) {
     ReportViolation("a success bears a seal", id);
-  } else if (request.kind == SoakKind::kStream) {
+  } else if (request.kind == SoakKind::kStream ||
+             request.kind == SoakKind::kStreamOnce) {
     CheckStream(id, request);
   } else if (request.body != SoakResponseBody(id)) {
     ReportViolation("a success is the whole answer",
@@ -200,10 +231,10 @@
 
 void SoakRecord::CheckRefusedRequests() {
   for (const auto& [id, request] : requests_) {
-    if (MeansNotExecuted(request.status) && !request.sealed &&
-        !request.execution_times.empty()) {
+    if (MeansNotExecuted(request.status) && !request.executions.empty()) {
       ReportViolation("a refused request never runs",
-                      fmt::format("{} status {}", id, request.status));
+                      fmt::format("{} status {}{}", id, request.status,
+                                  request.sealed ? " sealed" : ""));
     }
   }
 }
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -17,7 +18,8 @@
 
 namespace filbertshift {
 
-enum class SoakKind { kNonIdempotent, kIdempotent, kStream };
+// kStream may be resumed; kStreamOnce may not, and runs once.
+enum class SoakKind { kNonIdempotent, kIdempotent, kStream, kStreamOnce };
 
 // Time after which an instance that has passed on a notice of leaving sends
 // nothing more to the endpoint.
@@ -26,6 +28,9 @@
 // so many requests of an instance may still reach the endpoint.
 constexpr std::chrono::milliseconds kSoakPauseSlack{500};
 constexpr int kSoakMaxInPause = 2;
+// An endpoint that the router has left works on for at most this long after the
+// request has begun at another one.
+constexpr std::chrono::milliseconds kSoakMaxOverlap{400};
 // Number of events in a complete stream.
 constexpr int kSoakEventCount = 6;
 
@@ -37,6 +42,13 @@
   }
 };
 
+struct SoakExecution {
+  std::string endpoint;
+  TimePoint started_at{};
+  // Not set while the endpoint works on the request.
+  std::optional<TimePoint> ended_at;
+};
+
 struct SoakRequest {
   SoakKind kind = SoakKind::kNonIdempotent;
   std::string target;
@@ -48,8 +60,7 @@
   // The API key was revoked long enough ago for every instance to have applied
   // it, so the request must be denied.
   bool key_revoked = false;
-  // Start time of each execution at an endpoint.
-  std::vector<TimePoint> execution_times;
+  std::vector<SoakExecution> executions;
   // The latest one that said in its answer that it leaves.
   SoakIncarnation leaving;
   // 0: no response, or an incomplete one.
@@ -67,7 +78,12 @@
   // otherwise it describes the difference.
   void OnExecution(const std::string& id,
                    std::string_view detail,
-                   TimePoint now);
+                   TimePoint now,
+                   const std::string& endpoint = std::string());
+  // The endpoint has answered the request or given it up.
+  void OnExecutionEnded(const std::string& id,
+                        const std::string& endpoint,
+                        TimePoint now);
   void OnResponse(const std::string& id,
                   int status,
                   bool sealed,
--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -17,7 +17,7 @@
 using std::chrono::seconds;
 
 constexpr int kInstances = 3;
-constexpr int kEndpoints = 6;
+constexpr std::int64_t kMemoryMb = 128;
 constexpr int kCallers = 10;
 constexpr milliseconds kSilenceTimeout{1500};
 constexpr milliseconds kCheckInterval{100};
@@ -33,6 +33,19 @@
 // Time within which all instances serve again after a simultaneous restart.
 constexpr milliseconds kRecoveryTime{12000};
 
+struct SoakRoute {
+  const char* name;
+  const char* kind;
+  int max_attempts;
+  bool resumable;
+};
+// More attempts than one let a refused request return to an endpoint that
+// refused it before.
+constexpr SoakRoute kRoutes[] = {{"once", "non_idempotent", 3, false},
+                                 {"again", "idempotent", 4, false},
+                                 {"stream", "streaming", 4, true},
+                                 {"tale", "streaming", 3, false}};
+
 // The port of a stopped instance looks free to soaks that run concurrently, so
 // each soak uses its own loopback address.
 std::string LoopbackAddress() {
@@ -47,13 +60,14 @@
     : options_(options),
       random_(options.seed),
       notice_random_(options.seed + 1000000),
+      unruly_random_(options.seed + 2000000),
       loop_(kSilenceTimeout),
       store_(&loop_),
       store_address_(LoopbackAddress()),
       started_at_(loop_.Now()) {
   loop_.Listen(store_address_, store_.listener());
   PutConfiguration(true);
-  for (int i = 0; i < kEndpoints; ++i) {
+  for (int i = 0; i < options.endpoints; ++i) {
     AddEndpoint();
   }
   std::vector<std::string> addresses;
@@ -73,17 +87,14 @@
 
 void SoakSite::PutConfiguration(bool with_second_key) {
   std::string routes;
-  for (const char* kind : {"once", "again", "stream"}) {
-    const char* route_kind = kind[0] == 'o'   ? "non_idempotent"
-                             : kind[0] == 'a' ? "idempotent"
-                                              : "streaming";
+  for (const SoakRoute& route : kRoutes) {
     routes +=
         fmt::format(R"({}{{"name":"{}","host":"soak.example","prefix":"/{}/",)"
                     R"("route_kind":"{}","timeout_ms":4000,"objective_ms":500,)"
                     R"("gap_aim_ms":500,"service":"s","max_attempts":{},)"
                     R"("resumable":{}}})",
-                    routes.empty() ? "" : ",", kind, kind, route_kind,
-                    kind[0] == 'o' ? 1 : 4, kind[0] == 's');
+                    routes.empty() ? "" : ",", route.name, route.name,
+                    route.kind, route.max_attempts, route.resumable);
   }
   store_.Put(
       "op", "config",
@@ -130,10 +141,10 @@
       R"({{"instance":"{}","data_centre":"a","caller_listen":"{}",)"
       R"("readiness_listen":"{}","peer_listen":"{}","store_address":"{}",)"
       R"("configuration_apply_ms":{},"shutdown_s":{},"repeat_ratio":0.9,)"
-      R"("repeat_allowance":60}})",
+      R"("repeat_allowance":60,"memory_mb":{}}})",
       instance->name, instance->caller_address, LoopbackAddress(),
       LoopbackAddress(), proxy_address, kApplyTime.count(),
-      duration_cast<seconds>(kShutdownTime).count());
+      duration_cast<seconds>(kShutdownTime).count(), kMemoryMb);
   StartProcess(instance.get());
   instances_.push_back(std::move(instance));
 }
@@ -278,6 +289,28 @@
   }
 }
 
+void SoakSite::BeginUnruly() {
+  milliseconds time(3000 + unruly_random_() % 4000);
+  std::size_t calm =
+      unruly_random_() % 2 == 0 ? unruly_random_() % endpoints_.size() : 0;
+  Log(fmt::format("all endpoints but {} unruly for {} ms", calm, time.count()));
+  ExtendDisruption(time);
+  for (std::size_t i = calm; i < endpoints_.size(); ++i) {
+    SoakWorker* worker = endpoints_[i].worker.get();
+    worker->SetUnruly(true);
+    loop_.After(time, [worker] { worker->SetUnruly(false); });
+  }
+}
+
+void SoakSite::SilenceEndpoint() {
+  SoakWorker* worker =
+      endpoints_[unruly_random_() % endpoints_.size()].worker.get();
+  milliseconds time(500 + unruly_random_() % 700);
+  Log(fmt::format("endpoint {} silent for {} ms", worker->id(), time.count()));
+  worker->FallSilent(time);
+  RunFor(time);
+}
+
 void SoakSite::RevokeKey() {
   Log("second API key revoked");
   PutConfiguration(false);
@@ -363,6 +396,7 @@
 void SoakSite::Run() {
   std::function<void()> check = [this, &check] {
     UpdateFaultFree();
+    CheckMemory();
     loop_.After(kCheckInterval, check);
   };
   ExtendDisruption(kReadyTime);
@@ -374,12 +408,14 @@
   second_caller_->Start();
   TimePoint end = loop_.Now() + options_.fault_duration;
   while (loop_.Now() < end) {
+    BeginUnruly();
     int faults = 1 + static_cast<int>(random_() % 3);
     for (int i = 0; i < faults; ++i) {
       BeginFault();
       RunFor(RandomDuration(0, 1500));
     }
     PlayNotice();
+    SilenceEndpoint();
     while (loop_.Now() < disrupted_until_) {
       RunFor(kCheckInterval);
     }
@@ -406,6 +442,17 @@
   CheckLogs();
 }
 
+void SoakSite::CheckMemory() {
+  for (const std::unique_ptr<Instance>& instance : instances_) {
+    std::int64_t peak_kb = instance->process->PeakMemoryKb();
+    if (peak_kb > kMemoryMb * 1024 && !instance->exceeded_memory) {
+      instance->exceeded_memory = true;
+      record_.ReportViolation("an instance stays within its memory",
+                              fmt::format("{} {} kB", instance->name, peak_kb));
+    }
+  }
+}
+
 void SoakSite::StopAll() {
   Log("all instances terminated by SIGTERM");
   record_.SetFaultFree(false, loop_.Now());
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -29,6 +29,7 @@
   unsigned seed = 1;
   // Period during which faults are injected.
   std::chrono::seconds fault_duration{30};
+  int endpoints = 6;
 };
 
 class SoakSite {
@@ -48,6 +49,7 @@
     std::unique_ptr<ChildProcess> process;
     // Number of process starts; distinguishes the log files.
     int starts = 0;
+    bool exceeded_memory = false;
   };
   struct Endpoint {
     std::unique_ptr<SoakWorker> worker;
@@ -68,13 +70,18 @@
   void BeginFault();
   void BeginProcessFault(Instance* instance);
   void BeginStoreFault();
+  // Makes most endpoints, or all of them, unruly for a while.
+  void BeginUnruly();
   // Reports a violation unless the instance ended with status 0 after SIGTERM
   // or was killed by the soak.
   void CheckExit(const Instance& instance);
+  void CheckMemory();
   void ExtendDisruption(std::chrono::milliseconds time);
   void UpdateFaultFree();
   // Planned changes, which must not make any request fail.
   void RevokeKey();
+  // An endpoint falls silent for about a second and goes on.
+  void SilenceEndpoint();
   void RemoveEndpoint();
   // An endpoint says in its answers that it leaves, and starts again.
   void LeaveEndpoint();
@@ -92,6 +99,7 @@
   std::mt19937 random_;
   // Its own, so that the other faults of a seed stay as they are.
   std::mt19937 notice_random_;
+  std::mt19937 unruly_random_;
   TcpLoop loop_;
   SoakRecord record_;
   StandInStore store_;
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include "src/gateway/caller_server.h"
@@ -45,6 +46,14 @@
     pause_ = pause;
   }
   int arrivals() const { return arrivals_; }
+  // Reads and sends nothing for this long, and goes on.
+  void FallSilent(std::chrono::milliseconds time) {
+    silent_until_ = transport_->Now() + time;
+  }
+  // While set, it has few places, refuses often, writes refusals and answers
+  // again later or without end, and fails with statuses that promise not to
+  // have run.
+  void SetUnruly(bool unruly) { unruly_ = unruly; }
 
   void OnRequest(ConnectionId caller,
                  HttpRequestHead head,
@@ -57,9 +66,24 @@
   void ScheduleStep(ConnectionId caller,
                     std::chrono::milliseconds delay,
                     std::function<void()> action);
+  bool IsSilent() const { return transport_->Now() < silent_until_; }
+  std::chrono::milliseconds SilenceLeft() const;
+  // The endpoint works on the request of this connection no more.
+  void EndExecution(ConnectionId caller);
   void SendEvent(ConnectionId caller, const std::string& request, int number);
   HttpResponseHead ResponseHead(int status, const std::string& request) const;
   HttpResponseHead Refusal(const std::string& request) const;
+  // Refuses the request, or does not in its turn, as an unruly endpoint.
+  bool RefuseUnruly(ConnectionId caller, const std::string& request);
+  // Responds with bytes that never end, or does not in its turn.
+  bool RespondWithoutEnd(ConnectionId caller, const std::string& request);
+  void SendWithoutEnd(ConnectionId caller, const std::string& part);
+  // Status of the response to a request that has run.
+  int ChooseStatus();
+  // Responds, and as an unruly endpoint may write the response again later.
+  void Respond(ConnectionId caller,
+               const HttpResponseHead& head,
+               const std::string& body);
   void AddLeaving(const std::string& request, HttpResponseHead* head) const;
   SoakIncarnation Incarnation() const { return {id_, start_}; }
 
@@ -70,8 +94,14 @@
   SoakRecord* const record_;
   // Timer of the next step of each request in progress.
   std::map<ConnectionId, TimerId> step_timers_;
+  // Request that runs for each connection.
+  std::map<ConnectionId, std::string> running_;
+  // Connections on which a response has begun that has not ended.
+  std::set<ConnectionId> responding_;
+  TimePoint silent_until_{};
   bool removed_ = false;
   bool leaving_ = false;
+  bool unruly_ = false;
   int start_ = 1;
   std::optional<std::chrono::milliseconds> pause_;
   int arrivals_ = 0;
--- a/tests/unit/soak/soak_record_test.cc
+++ b/tests/unit/soak/soak_record_test.cc
@@ -8,6 +8,8 @@
 namespace filbertshift {
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr TimePoint kNow{std::chrono::hours(1)};
 
 SoakRequest Request(SoakKind kind) {
@@ -54,6 +56,22 @@
     record.OnResponse("a", 503, false, "");
     record.OnExecution("a", "", kNow);
   }
+  SECTION("a second run of a stream that may not be resumed") {
+    record.OnSent("t", Request(SoakKind::kStreamOnce));
+    record.OnExecution("t", "", kNow);
+    record.OnExecution("t", "", kNow);
+  }
+  SECTION("a sealed refusal of a request that has run") {
+    record.OnExecution("a", "", kNow);
+    record.OnResponse("a", 503, true, "");
+  }
+  SECTION("an endpoint that works on beside the next one") {
+    record.OnSent("s", Request(SoakKind::kStream));
+    record.OnExecution("s", "", kNow, "e0");
+    record.OnExecution("s", "", kNow, "e1");
+    record.OnExecutionEnded("s", "e0",
+                            kNow + kSoakMaxOverlap + milliseconds(1));
+  }
   SECTION("a success without a seal") {
     record.OnResponse("a", 200, false, SoakResponseBody("a"));
   }
