Decide in one function whether a request may have run

Eleven places counted `runs` or `sends` by hand when an attempt ended, each with its own idea of the evidence. EndAttempt now asks ExecutionStateOf (src/dispatch, testable without a network) what the end of the attempt proves: not sent, refused, or may have run, and logs it in FS1711 as `execution`.

One case changes: an attempt that is given up before its connection stands no longer counts as a send and a run of a request that may be repeated.

--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -145,11 +145,11 @@
        "why the instance tried nothing more (`end`)."},
       {EventId::kRoutedAttemptEnded, kInfo, "routed_attempt_ended",
        "An attempt at an endpoint ended without an answer that was "
-       "delivered; the detail has the result and its cause, the status and "
-       "whether the response said \"not run\" and named the request, the "
-       "connection with its age and the number of requests that it has "
-       "carried, "
-       "and how many attempts of the request were sent and may have run."},
+       "delivered; the detail has the result and its cause, whether the "
+       "request may have run, the status and whether the response said \"not "
+       "run\" and named the request, the connection with its age and the "
+       "number of requests that it has carried, and how many attempts of the "
+       "request were sent and may have run."},
       {EventId::kAttemptMoved, kInfo, "attempt_moved",
        "An attempt was cancelled and the request goes on at another "
        "endpoint; the detail has the reason, the last event delivered and, for "
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -43,6 +43,10 @@
   // The response can only be to this request: it carries the id, or nothing
   // else was on its connection.
   bool own_response = false;
+  // The response has arrived whole.
+  bool complete = false;
+  // Whether bytes of the request may have been sent; set when the call ends.
+  std::optional<bool> sent;
   // Body of a response that is not streamed.
   std::string body;
   EventSplitter events;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -128,7 +128,9 @@
   std::string EncodeAttemptHead(const Exchange& exchange,
                                 const RoutedEndpoint& endpoint) const;
   void WaitForEndpoint(Exchange* exchange, const DispatchChoice& choice);
+  // Counts whether the request was sent and may have run.
   void EndAttempt(Exchange* exchange, AttemptResult result);
+  ExecutionState ExecutionOf(const EndpointAttempt& attempt) const;
   // Cancels the attempt and retries at another endpoint if that is allowed.
   // `evidence` is appended to the log line.
   void MoveAttempt(Exchange* exchange,
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -182,7 +182,6 @@
       fmt::format("from={} to={} confidence={}", smaller.value(),
                   larger->value(), *attempt.response_metadata.confidence));
   metrics_->CountRepeat("escalation");
-  ++exchange->runs;
   EndAttempt(exchange, AttemptResult::kAnswered);
   Dispatch(exchange->caller);
   return true;
@@ -338,6 +337,8 @@
   if (exchange == nullptr) {
     return;
   }
+  exchange->attempt->sent = true;
+  exchange->attempt->complete = true;
   if (!IsGenuineSuccess(*exchange->attempt)) {
     CompleteFailure(exchange);
   } else if (exchange->route->kind == RouteKind::kStreaming) {
@@ -352,7 +353,6 @@
   std::string body = std::move(exchange->attempt->body);
   ReportAnswered(exchange);
   RecordOutcome(*exchange, false);
-  ++exchange->runs;
   EndAttempt(exchange, AttemptResult::kAnswered);
   metrics_->ObserveFirstByte(
       exchange->route->name,
@@ -376,7 +376,6 @@
     RecordGap(*exchange, attempt.progress_at);
   }
   int status = attempt.head.status;
-  ++exchange->runs;
   EndAttempt(exchange, AttemptResult::kAnswered);
   ConnectionId caller = exchange->caller;
   Finish(exchange, status, "streamed");
@@ -390,14 +389,12 @@
   bool paused = attempt.response_metadata.pause.has_value();
   if (attempt.response_metadata.not_run) {
     // Otherwise it may be a copy of a refusal of another request.
-    bool refused = attempt.own_response;
-    exchange->runs += refused ? 0 : 1;
+    bool refused = ExecutionOf(attempt) == ExecutionState::kRefused;
     EndAttempt(exchange,
                paused ? AttemptResult::kPaused : AttemptResult::kRefused);
     Repeat(exchange, refused ? "refused" : "unnamed_refusal");
     return;
   }
-  ++exchange->runs;
   if (!IsGenuine(attempt) || IsSuccess(status)) {
     exchange->failure_detail += " without seal or id";
     EndAttempt(exchange,
@@ -428,8 +425,8 @@
                          std::string_view detail) {
   Exchange* exchange = Find(call);
   exchange->failure_detail = std::string(detail);
+  exchange->attempt->sent = failure != CallFailure::kNotSent;
   if (failure == CallFailure::kNotSent) {
-    --exchange->sends;
     EndAttempt(exchange, AttemptResult::kUnreachable);
     Repeat(exchange, "not_sent");
     return;
@@ -479,7 +476,6 @@
     return;
   }
   if (exchange->attempt.has_value()) {
-    exchange->runs += client_.IsSent(exchange->attempt->call) ? 1 : 0;
     exchange->failure_detail = "deadline";
     EndAttempt(exchange, AttemptResult::kCancelled);
   }
@@ -498,7 +494,6 @@
       continue;
     }
     if (exchange->attempt.has_value()) {
-      exchange->runs += client_.IsSent(exchange->attempt->call) ? 1 : 0;
       exchange->failure_detail = "shutting_down";
       EndAttempt(exchange, AttemptResult::kCancelled);
     }
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -245,8 +245,18 @@
   return SerializeRequestHead(head);
 }
 
+ExecutionState Forwarder::ExecutionOf(const EndpointAttempt& attempt) const {
+  return ExecutionStateOf(
+      {attempt.sent.value_or(client_.IsSent(attempt.call)),
+       attempt.complete && attempt.response_metadata.not_run,
+       attempt.own_response});
+}
+
 void Forwarder::EndAttempt(Exchange* exchange, AttemptResult result) {
   EndpointAttempt& attempt = *exchange->attempt;
+  ExecutionState execution = ExecutionOf(attempt);
+  exchange->sends -= execution == ExecutionState::kNotSent ? 1 : 0;
+  exchange->runs += execution == ExecutionState::kMayHaveRun ? 1 : 0;
   client_.Cancel(attempt.call);
   callers_by_call_.erase(static_cast<std::uint64_t>(attempt.call));
   versions_.OnRequestEnded(exchange->session, transport_->Now());
@@ -258,11 +268,11 @@
         EventId::kRoutedAttemptEnded,
         {RequestId(exchange->metadata.request_id), {}, attempt.endpoint},
         fmt::format(
-            "result={} version={} model={} ms={} blocks={} status={} "
-            "says_not_run={} named={} connection={} requests={} age_ms={} "
-            "sends={} runs={} trouble={}",
-            AttemptResultName(result), attempt.version.value(),
-            attempt.model.value(),
+            "result={} execution={} version={} model={} ms={} blocks={} "
+            "status={} says_not_run={} named={} connection={} requests={} "
+            "age_ms={} sends={} runs={} trouble={}",
+            AttemptResultName(result), ExecutionStateName(execution),
+            attempt.version.value(), attempt.model.value(),
             duration_cast<milliseconds>(transport_->Now() - attempt.started_at)
                 .count(),
             attempt.event_blocks, attempt.head.status,
--- a/src/gateway/forwarder_crashes.cc
+++ b/src/gateway/forwarder_crashes.cc
@@ -70,7 +70,6 @@
                           exchange->last_event_id.value_or("-")));
   exchange->failure_detail = std::string(reason);
   exchange->admitted = false;
-  ++exchange->runs;
   // After a second break it matters whether the endpoint has crashed; the
   // repeat waits until that is known.
   bool wait = ++exchange->early_breaks >= kMaxCrashes;
--- a/src/gateway/forwarder_notices.cc
+++ b/src/gateway/forwarder_notices.cc
@@ -69,7 +69,6 @@
       continue;
     }
     exchange->failure_detail = "endpoint takes no requests";
-    --exchange->sends;
     EndAttempt(exchange, AttemptResult::kCancelled);
     Dispatch(caller);
   }
--- a/src/gateway/forwarder_silence.cc
+++ b/src/gateway/forwarder_silence.cc
@@ -49,7 +49,6 @@
               fmt::format("reason={} last_event={}{}", reason,
                           exchange->last_event_id.value_or("-"), evidence));
   exchange->failure_detail = std::string(reason);
-  ++exchange->runs;
   EndAttempt(exchange, result);
   Repeat(exchange, reason);
 }
