Pass on no failure whose status denies that the request ran

Callers saw a 503, 429 or 408 for a request that an endpoint had run and failed (REFUSED). An endpoint's own failure was passed on with its seal and status whatever the status was, but these statuses promise that the request has not run and never will, and only the "not executed" field or 421 makes that true.

Such a failure is now a failed attempt: a request that may be repeated goes to another endpoint, any other gets 502 with run "unknown", without seal and Retry-After (a seal must not bear another status). An earlier failure of the same request with another status is still passed on.

--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -408,12 +408,18 @@
   if (!paused) {
     RecordOutcome(*exchange, status >= 500);
   }
-  exchange->failure_head = HeadForCaller(attempt.head);
-  exchange->failure_body = std::move(attempt.body);
+  // The endpoint's own response may bear no other status, and this one would
+  // deny a run.
+  bool promises = codec_.PromisesNotRun(status);
+  if (!promises) {
+    exchange->failure_head = HeadForCaller(attempt.head);
+    exchange->failure_body = std::move(attempt.body);
+  }
+  bool failed = status >= 500 || promises;
   AttemptResult result =
-      status >= 500 ? AttemptResult::kFailed : AttemptResult::kAnswered;
+      failed ? AttemptResult::kFailed : AttemptResult::kAnswered;
   EndAttempt(exchange, paused ? AttemptResult::kPaused : result);
-  if (status >= 500) {
+  if (failed) {
     Repeat(exchange, "failed");
   } else {
     GiveUp(exchange, status, "failed", "failed");
--- a/src/gateway/gateway_ports.h
+++ b/src/gateway/gateway_ports.h
@@ -84,7 +84,10 @@
   // that only the router may set, plus `fields`.
   virtual HttpHeaders EncodeForEndpoint(const HttpHeaders& from_caller,
                                         const EndpointFields& fields) const = 0;
-  // As above.
+  // Whether a caller that gets a response with this status concludes that the
+  // request has not run and never will.
+  virtual bool PromisesNotRun(int status) const = 0;
+  // As DecodeRequest.
   virtual ResponseMetadata DecodeResponse(
       const HttpResponseHead& head,
       std::vector<Finding>* findings) const = 0;
--- a/tests/unit/gateway/refusal_promise_test.cc
+++ b/tests/unit/gateway/refusal_promise_test.cc
@@ -19,6 +19,42 @@
 
 constexpr char kNotExecuted[] = "Filbertshift-Not-Executed: 1\r\n";
 
+// Guards against a caller that repeats a request which an endpoint has run and
+// failed.
+TEST_CASE("a failure of a run is not passed on as a promise not to have run",
+          "[gateway]") {
+  int status = GENERATE(503, 429, 408);
+  std::string target = GENERATE("/once/x", "/sized-once/x", "/safe/x");
+  std::string fields = GENERATE("", "Retry-After: 1\r\n");
+  INFO(status << " " << target << " " << fields);
+  ForwarderFixture f;
+  ConnectionId caller = f.Request("POST", target, "r1", "", "b");
+  std::string response;
+  for (int i = 0; i < 4 && response.empty(); ++i) {
+    f.Respond(f.NextArrival(),
+              ForwarderFixture::WholeResponse(status, "r1", "oops", fields));
+    response = f.transport.TakeSent(caller);
+  }
+  CHECK(Contains(response, "HTTP/1.1 502"));
+  CHECK(Contains(response, "\"unknown\""));
+  CHECK_FALSE(Contains(response, "Filbertshift-Response-Seal"));
+  CHECK_FALSE(Contains(response, "Retry-After"));
+  CHECK(f.NothingArrives(milliseconds(100)));
+}
+
+// Guards against the loss of an answer that bears no promise.
+TEST_CASE("an earlier failure is kept beside one that promises", "[gateway]") {
+  ForwarderFixture f;
+  ConnectionId caller = f.Request("GET", "/safe/x", "r1");
+  f.Respond(f.NextArrival(),
+            ForwarderFixture::WholeResponse(500, "r1", "first"));
+  f.Respond(f.NextArrival(),
+            ForwarderFixture::WholeResponse(503, "r1", "second"));
+  std::string response = f.transport.TakeSent(caller);
+  CHECK(Contains(response, "HTTP/1.1 500"));
+  CHECK(Contains(response, "first"));
+}
+
 // Guards against a second run after a response that is no refusal.
 TEST_CASE("a response that contradicts its refusal does not count as one",
           "[gateway]") {
