Reset connections that are aborted

Abort, a peer that fell silent and the end of a process with unsent bytes ask for a reset, so that the peer takes nothing for the whole. None was sent: the socket's destructor in Boost.Asio switches a linger option off before it closes, which makes the close an orderly one. The kernel went on sending what it had buffered to endpoints whose attempt had been cancelled, and a caller without chunks saw the end of a broken off stream as its regular end.

A connection closes its socket itself. The tests use real sockets and failed before; all earlier tests of resets used the fake transport, which only notes that Abort was called.

--- a/src/net/tcp_loop.h
+++ b/src/net/tcp_loop.h
@@ -69,6 +69,13 @@
 
   struct Connection {
     explicit Connection(boost::asio::io_context& context) : socket(context) {}
+    // The destructor of the socket would turn a reset into an orderly close.
+    ~Connection() {
+      boost::system::error_code ignored;
+      socket.close(ignored);
+    }
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
     Socket socket;
     ConnectionListener* listener = nullptr;
     SendQueue unsent;
--- a/tests/unit/net/tcp_loop_test.cc
+++ b/tests/unit/net/tcp_loop_test.cc
@@ -3,7 +3,9 @@
 #include <catch2/catch.hpp>
 
 #include <fmt/format.h>
+#include <sys/socket.h>
 
+#include <cerrno>
 #include <optional>
 #include <thread>
 
@@ -148,5 +150,58 @@
   CHECK_FALSE(recorder.end.has_value());
 }
 
+const std::string kLargeUpload(std::size_t{16} * 1024 * 1024, 'u');
+
+// A connection from the loop to a peer that has read nothing.
+struct Upload {
+  explicit Upload(TcpLoop* loop)
+      : server(ListenOnLoopback()),
+        id(loop->Connect(fmt::format("127.0.0.1:{}", LocalPortOf(server)),
+                         milliseconds(500),
+                         &recorder)) {
+    RunFor(loop, milliseconds(20));
+    peer = AcceptFrom(server, milliseconds(500));
+    REQUIRE(recorder.connected);
+  }
+  TestSocket server;
+  Recorder recorder;
+  ConnectionId id;
+  TestSocket peer;
+};
+
+// Reads to the end of the connection. Returns whether it was reset.
+bool EndsWithReset(const TestSocket& peer) {
+  char buffer[4096];
+  ssize_t size = 0;
+  do {
+    size = recv(peer.descriptor(), buffer, sizeof(buffer), 0);
+  } while (size > 0);
+  return size < 0 && errno == ECONNRESET;
+}
+
+// Guards against a peer that takes what it has received for the whole, or goes
+// on with a request that was cancelled.
+TEST_CASE("an aborted connection is reset", "[net]") {
+  bool half_sent = GENERATE(false, true);
+  INFO(half_sent);
+  TcpLoop loop(milliseconds(1000));
+  Upload upload(&loop);
+  loop.Send(upload.id, half_sent ? kLargeUpload : "request");
+  RunFor(&loop, milliseconds(20));
+  CHECK((loop.UnsentBytes(upload.id) > 0) == half_sent);
+  loop.Abort(upload.id);
+  RunFor(&loop, milliseconds(20));
+  CHECK(EndsWithReset(upload.peer));
+}
+
+TEST_CASE("a connection with unsent bytes is reset when its loop ends",
+          "[net]") {
+  std::optional<TcpLoop> loop(std::in_place, milliseconds(1000));
+  Upload upload(&*loop);
+  loop->Send(upload.id, kLargeUpload);
+  loop.reset();
+  CHECK(EndsWithReset(upload.peer));
+}
+
 }  // namespace
 }  // namespace filbertshift
