Check the promise of each response where it leaves

All whole responses to callers pass Forwarder::Reply. One whose status denies a run of a request that may have run is replaced by 502 and reported as FS1004 and filbertshift_gateway_violations_total{invariant="not_run_promise"}, so that a report like the users' can be told from the logs alone.

--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -222,6 +222,12 @@
               int status,
               std::string_view code,
               RunState run);
+  // The only way in which a whole response reaches the caller. A status that
+  // denies a run of a request that may have run is replaced.
+  void Reply(Exchange* exchange,
+             HttpResponseHead head,
+             std::string body,
+             std::string_view outcome);
   void Finish(Exchange* exchange, int status, std::string_view outcome);
   void RecordOutcome(const Exchange& exchange, bool failed);
   // Records the mean gap of the events so far.
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -30,6 +30,7 @@
 // A response that is not streamed advances with this many bytes. An endpoint in
 // trouble may send one byte now and then.
 constexpr std::size_t kMinProgressBytes = 512;
+constexpr int kBadGateway = 502;
 
 double RetryAfterSeconds(const Exchange& exchange) {
   return exchange.retry_after.has_value()
@@ -357,10 +358,7 @@
   metrics_->ObserveFirstByte(
       exchange->route->name,
       duration_cast<microseconds>(transport_->Now() - exchange->arrived_at));
-  int status = head.status;
-  ConnectionId caller = exchange->caller;
-  Finish(exchange, status, "answered");
-  server_->Respond(caller, std::move(head), std::move(body));
+  Reply(exchange, std::move(head), std::move(body), "answered");
 }
 
 void Forwarder::CompleteStream(Exchange* exchange) {
@@ -456,9 +454,7 @@
   if (exchange->failure_head.has_value()) {
     HttpResponseHead head = std::move(*exchange->failure_head);
     std::string body = std::move(exchange->failure_body);
-    ConnectionId caller = exchange->caller;
-    Finish(exchange, head.status, "endpoint_failed");
-    server_->Respond(caller, std::move(head), std::move(body));
+    Reply(exchange, std::move(head), std::move(body), "endpoint_failed");
     return;
   }
   bool may_have_run = exchange->runs > 0;
@@ -522,9 +518,26 @@
     head.headers.Add("Retry-After",
                      fmt::format("{}", RetryAfterSeconds(*exchange)));
   }
+  Reply(exchange, std::move(head), CallerErrorBody(error), code);
+}
+
+void Forwarder::Reply(Exchange* exchange,
+                      HttpResponseHead head,
+                      std::string body,
+                      std::string_view outcome) {
+  if (exchange->runs > 0 && codec_.PromisesNotRun(head.status)) {
+    log_->Write(
+        EventId::kInvariantViolated,
+        {RequestId(exchange->metadata.request_id), {}, {}},
+        fmt::format("status {} for a request that may have run", head.status));
+    metrics_->CountInvariantViolation("not_run_promise");
+    exchange->failure_head.reset();
+    GiveUp(exchange, kBadGateway, "invariant", "invariant");
+    return;
+  }
   ConnectionId caller = exchange->caller;
-  Finish(exchange, status, code);
-  server_->Respond(caller, std::move(head), CallerErrorBody(error));
+  Finish(exchange, head.status, outcome);
+  server_->Respond(caller, std::move(head), std::move(body));
 }
 
 }  // namespace filbertshift
