Take no unnamed refusal on a used connection for the answer to an attempt

A call that may run once was then sent again.

The endpoint client tells whether the attempt is the first one on its connection. Otherwise a refusal must name the attempt; without an id it is dropped like a response to another attempt (502, run "unknown"). In a trial with this check taken out, the core test fails for the unnamed refusal on a used connection: the call was sent a second time.

--- a/src/core/core_attempts.cc
+++ b/src/core/core_attempts.cc
@@ -213,18 +213,22 @@
   attempt.http_status = head.http_status;
   attempt.headers = std::move(head.headers);
   std::string echoed = FindHeader(attempt.headers, "X-Request-Id");
-  if (!echoed.empty() && echoed != attempt.id.value()) {
+  bool is_refusal =
+      (attempt.http_status == 429 || attempt.http_status == 503) &&
+      FindHeader(attempt.headers, "X-Not-Run") == "true";
+  bool foreign = !echoed.empty() && echoed != attempt.id.value();
+  // Without an id it may be a copy of the refusal of an earlier attempt.
+  bool unnamed_refusal = is_refusal && echoed.empty() && !head.own_connection;
+  if (foreign || unnamed_refusal) {
     attempt.invalid = true;
     EventContext context{request->id, attempt.id, attempt.endpoint};
     ports_.log.Write(EventId::kStaleAnswerDropped, context,
-                     "response belongs to attempt " + echoed);
+                     foreign ? "response belongs to attempt " + echoed
+                             : "refusal names no attempt on a used connection");
     ports_.endpoints.Cancel(attempt.id);
     return;
   }
-  bool is_refusal_status =
-      attempt.http_status == 429 || attempt.http_status == 503;
-  attempt.refused =
-      is_refusal_status && FindHeader(attempt.headers, "X-Not-Run") == "true";
+  attempt.refused = is_refusal;
   if (attempt.http_status == kServiceUnavailable) {
     PauseEndpoint(*request);
   }
--- a/src/endpoint/connection_table.h
+++ b/src/endpoint/connection_table.h
@@ -27,6 +27,8 @@
   Incarnation verified_incarnation;
   // The transfer that uses the connection, or kNone while it is idle.
   TransferId transfer = TransferId::kNone;
+  // Requests of attempts since the connection opened; probes do not count.
+  int attempts = 0;
   // Shut down by this process or closed by the endpoint; never used again.
   bool closed = false;
 };
--- a/src/endpoint/endpoint_attempts.cc
+++ b/src/endpoint/endpoint_attempts.cc
@@ -158,6 +158,7 @@
     head.attempt = transfer->attempt;
     head.http_status = transfer->reader->http_status();
     head.headers = transfer->reader->headers();
+    head.own_connection = transfer->own_connection;
     Push(std::move(head));
   }
   return true;
@@ -198,6 +199,7 @@
       return false;
     }
     attempt.sent = true;
+    transfer->own_connection = ++connection->attempts == 1;
     Push(AttemptSent{attempt.spec.attempt});
   }
   ++transfer->write_count;
--- a/src/endpoint/transfer.h
+++ b/src/endpoint/transfer.h
@@ -61,6 +61,8 @@
   int descriptor = -1;
   // Bytes received on that connection before the request was written.
   std::uint64_t received_before = 0;
+  // The connection has carried no attempt before this one.
+  bool own_connection = false;
   // How often libcurl was about to write the request; more than once if it
   // retries.
   int write_count = 0;
--- a/src/ports/endpoint_port.h
+++ b/src/ports/endpoint_port.h
@@ -49,6 +49,9 @@
   AttemptId attempt;
   int http_status = 0;
   std::vector<HttpHeader> headers;
+  // The connection has carried no other attempt, so that the response can only
+  // be the one to this attempt.
+  bool own_connection = false;
 };
 
 // A chunk of the response body. Events of a text/event-stream answer are never
--- a/tests/unit/core/core_fixture.cc
+++ b/tests/unit/core/core_fixture.cc
@@ -287,8 +287,10 @@
 
 void CoreFixture::Head(const AttemptSpec& attempt,
                        int status,
-                       std::vector<HttpHeader> headers) {
-  core.Handle(AttemptHead{attempt.attempt, status, std::move(headers)});
+                       std::vector<HttpHeader> headers,
+                       bool own_connection) {
+  core.Handle(
+      AttemptHead{attempt.attempt, status, std::move(headers), own_connection});
 }
 
 void CoreFixture::Stream(const AttemptSpec& attempt,
--- a/tests/unit/core/core_fixture.h
+++ b/tests/unit/core/core_fixture.h
@@ -114,7 +114,8 @@
   void Sent(const AttemptSpec& attempt);
   void Head(const AttemptSpec& attempt,
             int status,
-            std::vector<HttpHeader> headers);
+            std::vector<HttpHeader> headers,
+            bool own_connection = true);
   // Delivers the head of an event stream and one content chunk for each piece.
   void Stream(const AttemptSpec& attempt,
               const std::vector<std::string>& pieces);
--- a/tests/unit/core/core_test.cc
+++ b/tests/unit/core/core_test.cc
@@ -137,6 +137,30 @@
   CHECK(fixture.ErrorField(again, "run") == "unknown");
 }
 
+// Guards against a call that runs twice, or is reported as not run, because an
+// earlier refusal was written once more on its connection.
+TEST_CASE("a refusal that may answer an earlier attempt promises nothing",
+          "[core]") {
+  bool named = GENERATE(false, true);
+  bool own_connection = GENERATE(false, true);
+  INFO(named << " " << own_connection);
+  CoreFixture fixture;
+  CallerId caller = fixture.Post("/invoices", "k1", "{}");
+  AttemptSpec attempt = fixture.LastAttempt();
+  std::size_t started = fixture.endpoints.started.size();
+  fixture.Sent(attempt);
+  std::vector<HttpHeader> headers = {{"X-Not-Run", "true"}};
+  if (named) {
+    headers.push_back({"X-Request-Id", attempt.attempt.value()});
+  }
+  fixture.Head(attempt, 503, headers, own_connection);
+  fixture.End(attempt, AttemptOutcome::kComplete);
+  fixture.Advance(std::chrono::seconds(1));
+  bool believed = named || own_connection;
+  CHECK((fixture.endpoints.started.size() > started) == believed);
+  CHECK(fixture.ErrorField(caller, "run") == (believed ? "" : "unknown"));
+}
+
 // Guards against a second execution when the caller repeats a call because the
 // first answer did not reach it.
 TEST_CASE("a finished non-repeatable call is replayed", "[core]") {
--- a/tests/unit/endpoint/endpoint_test.cc
+++ b/tests/unit/endpoint/endpoint_test.cc
@@ -416,6 +416,20 @@
   CHECK(endpoint.requests().at(1).connection == 0);
 }
 
+TEST_CASE("endpoint client tells the first attempt of a connection",
+          "[endpoint]") {
+  FakeEndpoint endpoint(kFirstIncarnation, RespondWith(kOkResponse, true));
+  Client client;
+  for (bool first : {true, false}) {
+    client.Start(first ? "a0" : "a1", endpoint);
+    auto head = client.inbox.Take<AttemptHead>();
+    REQUIRE(head);
+    CHECK(head->own_connection == first);
+    CHECK(client.TakeEnd().outcome == AttemptOutcome::kComplete);
+  }
+  CHECK(endpoint.requests().at(1).connection == 0);
+}
+
 // As above, with a copy that arrives while the connection is idle.
 TEST_CASE("endpoint client uses no connection with a late copy", "[endpoint]") {
   const std::string copy =
