--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -126,6 +126,22 @@
                     {milliseconds(100), minutes(60)},
                     "Longest time without requests that an endpoint may ask "
                     "for with Retry-After; longer ones are shortened to it."),
+      DurationField("endpoint_load_interval", &S::endpoint_load_interval,
+                    kOptional, {milliseconds(0), minutes(1)},
+                    "Interval at which instances tell each other the load "
+                    "that they put on endpoints; 0 turns this off, and "
+                    "admission and placement with it."),
+      BooleanField("admission", &S::admission, kOptional,
+                   "Plain services with fewer places than instances admit "
+                   "requests by the load of all instances."),
+      BooleanField("placement", &S::placement, kOptional,
+                   "Endpoints with few places for each instance are chosen by "
+                   "the load of all instances, and requests leave the data "
+                   "centre only where that pays."),
+      NumberField("remote_cost_ms_per_mb", &S::remote_cost_ms_per_mb, kOptional,
+                  {0, kMaxMilliseconds}, "ms/MB",
+                  "Cost of a megabyte sent to another data centre, as waiting "
+                  "time of a caller."),
       SeverityField(&S::log_severity,
                     "Minimum severity of the events on standard output."),
       IntegerField("log_buffer_lines", &S::log_buffer_lines, kOptional,
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -63,6 +63,19 @@
   std::size_t event_buffer_kb = 1024;
   // Longest pause that an endpoint may ask for.
   std::chrono::milliseconds endpoint_retry_after_limit{30000};
+  // Interval at which instances tell each other the load they put on endpoints;
+  // 0: they do not, and `admission` and `placement` have no effect.
+  std::chrono::milliseconds endpoint_load_interval{0};
+  // Whether plain services with fewer places than instances admit requests by
+  // the load of all instances.
+  bool admission = false;
+  // Whether endpoints of services with few places for each instance are chosen
+  // by the load of all instances, and requests leave the data centre only where
+  // that pays.
+  bool placement = false;
+  // Cost of sending a megabyte to another data centre, as waiting time of a
+  // caller.
+  double remote_cost_ms_per_mb = 0;
   Severity log_severity = Severity::kInfo;
   std::size_t log_buffer_lines = 20000;
 };
