Avoid an endpoint whose address another process has taken over

Cause: an endpoint that started again has a new id.

Ruled out: leaving the endpoint out altogether. A faulty endpoint may say 421 falsely, and where no other one is left it is still tried.

Change: such an endpoint is avoided until its record changes, for 4 s at the most.

Result: the new test failed before (the old id was chosen again).

--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -24,6 +24,9 @@
 // A refusal means that the endpoint is at capacity; other endpoints may still
 // have free slots.
 constexpr milliseconds kAvoidAfterRefusal{60};
+// The record of an endpoint that was replaced disappears or changes within a
+// few heartbeats. The bound is for a false statement of a faulty endpoint.
+constexpr milliseconds kAvoidReplaced{4000};
 // An endpoint is avoided when its failure rate exceeds the mean by this much.
 constexpr double kFailureRateExcess = 0.3;
 constexpr milliseconds kAvoidAfterFailures{1500};
@@ -76,7 +79,8 @@
   auto found = entries_.find(record.endpoint);
   if (found == entries_.end()) {
     found = entries_.emplace(record.endpoint, Entry(record)).first;
-  } else if (found->second.record.started_at != record.started_at) {
+  } else if (found->second.record.started_at != record.started_at ||
+             found->second.record.address != record.address) {
     found->second.avoid_until = TimePoint();
     found->second.consecutive_breaks = 0;
     found->second.failure_rate = 0;
@@ -453,6 +457,19 @@
   }
 }
 
+void EndpointPool::OnReplaced(const EndpointId& endpoint,
+                              const EndpointIncarnation& incarnation,
+                              TimePoint now) {
+  auto found = entries_.find(endpoint);
+  if (found == entries_.end() ||
+      found->second.record.address != incarnation.address ||
+      found->second.record.started_at != incarnation.started_at) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.avoid_until = std::max(entry.avoid_until, now + kAvoidReplaced);
+}
+
 void EndpointPool::OnHostGone(const EndpointId& endpoint, TimePoint now) {
   auto found = entries_.find(endpoint);
   if (found != entries_.end()) {
--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -129,6 +129,11 @@
   EndpointSilence SilenceOf(const EndpointId& endpoint,
                             std::chrono::milliseconds allowed,
                             const ObservedTime& observed) const;
+  // Another process has the endpoint's address; the endpoint is avoided until
+  // its record changes. Ignored if the record is no longer that incarnation.
+  void OnReplaced(const EndpointId& endpoint,
+                  const EndpointIncarnation& incarnation,
+                  TimePoint now);
   // The endpoint's host accepts no connections.
   void OnHostGone(const EndpointId& endpoint, TimePoint now);
   // Number of ready endpoints that run the version, or any other version if
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -388,6 +388,10 @@
   if (attempt.response_metadata.not_run) {
     // Otherwise it may be a copy of a refusal of another request.
     bool refused = ExecutionOf(attempt) == ExecutionState::kRefused;
+    if (refused && attempt.response_metadata.misdirected) {
+      pool_.OnReplaced(attempt.endpoint, attempt.incarnation,
+                       transport_->Now());
+    }
     EndAttempt(exchange,
                paused ? AttemptResult::kPaused : AttemptResult::kRefused);
     Repeat(exchange, refused ? "refused" : "unnamed_refusal");
--- a/tests/unit/gateway/forwarder_fixture.cc
+++ b/tests/unit/gateway/forwarder_fixture.cc
@@ -65,6 +65,18 @@
                     10 + number, RowSource::kStore, transport.Now());
 }
 
+void ForwarderFixture::RestartEndpoint(int number) {
+  std::string text = fmt::format(
+      R"({{"service":"s","address":"10.0.0.{}:80","zone":"a","version":"v1",)"
+      R"("slots":4,"state":"ready","cold_remaining_ms":0,"sequence":1,)"
+      R"("born":77}})",
+      number);
+  constexpr int kRowVersion = 100;
+  view.ApplyChanges(StoreTable::kEndpoints,
+                    {{fmt::format("e{}", number), text, kRowVersion, false}},
+                    kRowVersion, RowSource::kStore, transport.Now());
+}
+
 void ForwarderFixture::ApplyConfiguration(int version) {
   std::string text = kConfiguration;
   text.replace(text.find("\"version\":3"), 11,
--- a/tests/unit/gateway/forwarder_test.cc
+++ b/tests/unit/gateway/forwarder_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <fmt/format.h>
+
 #include "tests/unit/gateway/forwarder_fixture.h"
 
 namespace filbertshift {
@@ -63,6 +65,32 @@
   CHECK(Contains(response, "\r\n\r\ndone"));
 }
 
+// Guards against requests and repeats that are spent on an endpoint whose
+// address another process has taken over.
+TEST_CASE("an endpoint that was replaced is avoided until its record changes",
+          "[gateway]") {
+  ForwarderFixture f;
+  f.Request("POST", "/once/x", "r1", "", "b");
+  ForwarderFixture::Arrival first = f.NextArrival();
+  f.Respond(first,
+            "HTTP/1.1 421 X\r\nFilbertshift-Instance-Id: e9\r\n"
+            "Filbertshift-Attempt-Id: r1\r\nContent-Length: 0\r\n\r\n");
+  std::string other = f.NextArrival().endpoint;
+  CHECK(other != first.endpoint);
+  f.transport.Advance(milliseconds(500));
+  for (int i = 0; i < 8; ++i) {
+    f.Request("POST", "/once/x", fmt::format("q{}", i), "", "b");
+    CHECK(f.NextArrival().endpoint == other);
+  }
+  f.RestartEndpoint(first.endpoint == "e1" ? 1 : 2);
+  bool used_again = false;
+  for (int i = 0; i < 8; ++i) {
+    f.Request("POST", "/once/x", fmt::format("p{}", i), "", "b");
+    used_again = used_again || f.NextArrival().endpoint == first.endpoint;
+  }
+  CHECK(used_again);
+}
+
 // Guards against another status than 503 (not run) for a request that reached
 // no endpoint.
 TEST_CASE("503 is given only if nothing may have run", "[gateway]") {
