Give the forwarder the load table

Cause: admission and placement read the load that the other instances report, and need one agreed place to find it while the exchange is being written.

Ruled out: a table owned by Gateway and passed by pointer; the forwarder's own parts are its only readers.

Change: Forwarder::load_table(). Nothing fills it yet, so that it is unknown and behaviour is unchanged.

--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -66,6 +66,9 @@
   }
   PromptQuarantine& quarantine() { return quarantine_; }
   const PromptQuarantine& quarantine() const { return quarantine_; }
+  // Load that the other instances report; filled by EndpointLoadExchange.
+  EndpointLoadTable& load_table() { return load_table_; }
+  const EndpointLoadTable& load_table() const { return load_table_; }
   std::size_t in_progress() const { return exchanges_.size(); }
   // Bytes of responses held for their rest or for slow callers.
   std::size_t buffered_bytes() const { return buffers_.total(); }
@@ -249,6 +252,7 @@
   std::optional<TimePoint> stop_at_;
   HttpClient client_;
   EndpointPool pool_;
+  EndpointLoadTable load_table_;
   RepeatBudget repeats_;
   // Keyed as `exchanges_`.
   BufferBudget buffers_;
