Exchange the load that instances put on endpoints

Cause: an instance knows an endpoint's load only from its own requests, times the number of instances. With fewer slots than instances that is noise.

Ruled out: gossip among all instances (several hops, and each instance's report everywhere so that it can expire by origin); the sums in the response to reads of the view (one direction only); whole reports each time, which take about 7 KB/s for each instance at 34 instances and 63 endpoints; charging the age of the oldest part to the table, by which the loss of one instance makes the tables of all unknown.

Change: with endpoint_load_interval above 0, instances report to the reader of their view and readers report sums to each other at /v1/endpoint-load. The forwarder counts the traffic of services, and the pace of streams. The new setting endpoint_load_bytes_per_second bounds the bytes; default 2048. With the interval 0 nothing is sent and the path gives 404 as before.

The whole unit test program has not been run with it yet.

--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -240,6 +240,15 @@
        "A prompt part or request that was blocked is served again."},
       {EventId::kCrashEvidenceRejected, kWarning, "crash_evidence_rejected",
        "Another instance sent evidence of crashes that cannot be decoded."},
+      {EventId::kEndpointLoadCurrent, kInfo, "endpoint_load_current",
+       "The load that the other instances put on endpoints is known and used."},
+      {EventId::kEndpointLoadUnknown, kWarning, "endpoint_load_unknown",
+       "The load that the other instances put on endpoints is not known; this "
+       "instance decides by its own load. The detail has the age, the interval "
+       "and the source."},
+      {EventId::kEndpointLoadRejected, kWarning, "endpoint_load_rejected",
+       "Another instance sent a report of load that cannot be decoded; it is "
+       "dropped."},
   };
   return kDefinitions;
 }
--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -115,6 +115,9 @@
   kCauseBlocked = 1781,
   kCauseReleased = 1782,
   kCrashEvidenceRejected = 1783,
+  kEndpointLoadCurrent = 1790,
+  kEndpointLoadUnknown = 1791,
+  kEndpointLoadRejected = 1792,
 };
 
 struct EventDefinition {
--- a/src/dispatch/endpoint_notices.cc
+++ b/src/dispatch/endpoint_notices.cc
@@ -20,17 +20,17 @@
 // Minimum time over which callers return after a pause.
 constexpr milliseconds kMinRetrySpread{400};
 
-bool IsSame(const EndpointIncarnation& a, const EndpointIncarnation& b) {
-  return a.address == b.address && (a.started_at == b.started_at ||
-                                    a.started_at == 0 || b.started_at == 0);
-}
-
 }  // namespace
 
 EndpointIncarnation IncarnationOf(const RoutedEndpoint& record) {
   return {record.address, record.started_at};
 }
 
+bool IsSame(const EndpointIncarnation& a, const EndpointIncarnation& b) {
+  return a.address == b.address && (a.started_at == b.started_at ||
+                                    a.started_at == 0 || b.started_at == 0);
+}
+
 EndpointNotices::EndpointNotices(milliseconds max_pause)
     : max_pause_(max_pause) {}
 
--- a/src/dispatch/endpoint_notices.h
+++ b/src/dispatch/endpoint_notices.h
@@ -23,6 +23,8 @@
 };
 
 EndpointIncarnation IncarnationOf(const RoutedEndpoint& record);
+// A record without a start time does not tell a restart.
+bool IsSame(const EndpointIncarnation& a, const EndpointIncarnation& b);
 
 // Each notice belongs to an incarnation and ends with it: a new address or
 // start time clears it. A record without a start time counts as the incarnation
--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -15,6 +15,7 @@
 
 #include "src/dispatch/attempt_result.h"
 #include "src/dispatch/endpoint_activity.h"
+#include "src/dispatch/endpoint_load_table.h"
 #include "src/dispatch/endpoint_notices.h"
 #include "src/dispatch/observed_time.h"
 #include "src/dispatch/sliding_counter.h"
@@ -123,6 +124,8 @@
   const EndpointNotices& notices() const { return notices_; }
   const RoutedEndpoint* Find(const EndpointId& endpoint) const;
   int InFlight(const EndpointId& endpoint) const;
+  // Adds the requests of this instance in progress at each endpoint.
+  void ExportLoad(LoadReport* report) const;
   // Whether the endpoint is cold and its requests are limited.
   bool IsCold(const EndpointId& endpoint, TimePoint now) const;
   // `allowed` is the longest pause within a response that is in time.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -16,6 +16,10 @@
 
 namespace filbertshift {
 
+// Number of event blocks at which the pace of a stream is measured if it has
+// not ended before.
+constexpr int kMaxPaceBlocks = 16;
+
 // One attempt to run a request at an endpoint.
 struct EndpointAttempt {
   CallId call{};
@@ -51,6 +55,7 @@
   std::string body;
   EventSplitter events;
   int event_blocks = 0;
+  TimePoint first_block_at{};
   // The quarantine knows that the request was answered.
   bool answer_reported = false;
 };
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -148,6 +148,7 @@
   }
   PrepareExchange(&exchange);
   repeats_.OnRequest(exchange.service, exchange.arrived_at);
+  traffic_.OnArrival(exchange.service, exchange.arrived_at);
   Dispatch(caller);
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -35,7 +35,9 @@
   ColdLimits cold;
 };
 
-class Forwarder : public HttpRequestHandler, public CallListener {
+class Forwarder : public HttpRequestHandler,
+                  public CallListener,
+                  public OwnLoadProvider {
  public:
   Forwarder(Transport* transport,
             const RequestCodec& codec,
@@ -101,6 +103,8 @@
   void OnFailed(CallId call,
                 CallFailure failure,
                 std::string_view detail) override;
+  // OwnLoadProvider:
+  LoadReport OwnLoad() override;
   // An endpoint sent bytes that no request was waiting for.
   void OnUnsolicited(const UnsolicitedBytes& unsolicited);
 
@@ -140,6 +144,12 @@
                    std::string_view reason,
                    AttemptResult result = AttemptResult::kBroken,
                    std::string_view evidence = {});
+  // Counts an attempt that ends in the traffic of its service.
+  void RecordTraffic(const Exchange& exchange,
+                     AttemptResult result,
+                     ExecutionState execution);
+  // Records the mean pause between the event blocks so far.
+  void RecordPace(const Exchange& exchange, TimePoint latest_block_at);
   // Whether the request can be sent before a planned stop.
   bool FitsBeforeStop(const Exchange& exchange) const;
   // Whether another run of it can be answered before a planned stop.
@@ -253,6 +263,8 @@
   HttpClient client_;
   EndpointPool pool_;
   EndpointLoadTable load_table_;
+  ServiceTrafficMeter traffic_;
+  PaceMeter paces_;
   RepeatBudget repeats_;
   // Keyed as `exchanges_`.
   BufferBudget buffers_;
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -231,6 +231,12 @@
     if (attempt.event_blocks == kAnsweredBlocks) {
       ReportAnswered(exchange);
     }
+    if (attempt.event_blocks == 1) {
+      attempt.first_block_at = transport_->Now();
+    }
+    if (attempt.event_blocks == kMaxPaceBlocks) {
+      RecordPace(*exchange, transport_->Now());
+    }
     if (attempt.event_blocks == kGapSampleBlocks) {
       RecordGap(*exchange, transport_->Now());
     }
@@ -373,6 +379,9 @@
   if (attempt.event_blocks < kGapSampleBlocks) {
     RecordGap(*exchange, attempt.progress_at);
   }
+  if (attempt.event_blocks < kMaxPaceBlocks) {
+    RecordPace(*exchange, attempt.progress_at);
+  }
   int status = attempt.head.status;
   EndAttempt(exchange, AttemptResult::kAnswered);
   ConnectionId caller = exchange->caller;
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -198,6 +198,9 @@
   attempt.progress_at = now;
   attempt.in_load_test = versions_.InLoadTest(exchange->service, now);
   ++exchange->attempts;
+  if (exchange->attempts == 1) {
+    traffic_.OnAdmitted(exchange->service, now);
+  }
   exchange->tried.push_back(endpoint.endpoint);
   pool_.OnStart(endpoint.endpoint, attempt.work, now);
   versions_.OnRequestSent(exchange->session, endpoint.version, now);
@@ -257,6 +260,7 @@
   ExecutionState execution = ExecutionOf(attempt);
   exchange->sends -= execution == ExecutionState::kNotSent ? 1 : 0;
   exchange->runs += execution == ExecutionState::kMayHaveRun ? 1 : 0;
+  RecordTraffic(*exchange, result, execution);
   client_.Cancel(attempt.call);
   callers_by_call_.erase(static_cast<std::uint64_t>(attempt.call));
   versions_.OnRequestEnded(exchange->session, transport_->Now());
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -138,6 +138,12 @@
   }
   readiness_handler_.SetServer(&readiness_server_);
   peer_service_.SetServer(&peer_server_);
+  if (settings.endpoint_load_interval.count() > 0) {
+    endpoint_load_ = std::make_unique<EndpointLoadExchange>(
+        settings, incarnation, transport, &peer_client_, log, metrics,
+        &forwarder_, &forwarder_.load_table());
+    peer_service_.SetEndpointLoad(endpoint_load_.get());
+  }
 }
 
 Gateway::~Gateway() = default;
@@ -167,6 +173,10 @@
   rollouts_.Step(source_.StoreTime(), now);
   SendHeartbeat(now);
   source_.Step(live, rollouts_.InProgress());
+  if (endpoint_load_ != nullptr) {
+    endpoint_load_->Step({source_.IsReader(), source_.ReaderAddress(),
+                          source_.ReaderAddresses()});
+  }
   StepQuarantine(now);
   UpdateMetrics(now);
   if (!was_ready_ && IsReady()) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
 
 #include "src/gateway/caller_server.h"
 #include "src/gateway/crash_evidence_exchange.h"
+#include "src/gateway/endpoint_load_exchange.h"
 #include "src/gateway/forwarder.h"
 #include "src/gateway/gateway_metrics.h"
 #include "src/gateway/gateway_ports.h"
@@ -114,6 +115,8 @@
   RolloutControl rollouts_;
   CrashEvidenceExchange crash_evidence_;
   QuarantineStore quarantine_store_;
+  // Null if instances do not report load.
+  std::unique_ptr<EndpointLoadExchange> endpoint_load_;
   TimePoint next_quarantine_expiry_{};
 
   HeartbeatSchedule heartbeats_;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -109,7 +109,22 @@
             "endpoints.")),
         table_age(GaugeFamily(registry,
                               "filbertshift_table_age_seconds",
-                              "Time since a table was known to be current.")) {}
+                              "Time since a table was known to be current.")),
+        load_age(GaugeFamily(registry,
+                             "filbertshift_endpoint_load_age_seconds",
+                             "Age of the load that the other instances report, "
+                             "and of the oldest part of it.")),
+        load_interval(GaugeFamily(registry,
+                                  "filbertshift_endpoint_load_interval_seconds",
+                                  "Interval between reports of load.")),
+        load_bytes(CounterFamily(registry,
+                                 "filbertshift_endpoint_load_bytes_total",
+                                 "Bytes of reports of load with their HTTP "
+                                 "heads, by role and direction.")),
+        load_rejected(
+            CounterFamily(registry,
+                          "filbertshift_endpoint_load_rejected_total",
+                          "Reports of load that could not be decoded.")) {}
 
   prometheus::Family<prometheus::Counter>& exchanges;
   prometheus::Family<prometheus::Counter>& attempts;
@@ -129,6 +144,10 @@
   prometheus::Family<prometheus::Gauge>& request_memory;
   prometheus::Family<prometheus::Gauge>& blocked_causes;
   prometheus::Family<prometheus::Gauge>& table_age;
+  prometheus::Family<prometheus::Gauge>& load_age;
+  prometheus::Family<prometheus::Gauge>& load_interval;
+  prometheus::Family<prometheus::Counter>& load_bytes;
+  prometheus::Family<prometheus::Counter>& load_rejected;
 };
 
 GatewayMetrics::GatewayMetrics()
@@ -220,6 +239,31 @@
   families_->table_age.Add({{"table", std::string(table)}}).Set(Seconds(age));
 }
 
+void GatewayMetrics::SetEndpointLoad(
+    std::optional<std::chrono::milliseconds> age,
+    std::chrono::milliseconds interval) {
+  if (age.has_value()) {
+    families_->load_age.Add({{"part", "table"}}).Set(Seconds(*age));
+  }
+  families_->load_interval.Add({}).Set(Seconds(interval));
+}
+
+void GatewayMetrics::SetEndpointLoadOldestPart(std::chrono::milliseconds age) {
+  families_->load_age.Add({{"part", "oldest"}}).Set(Seconds(age));
+}
+
+void GatewayMetrics::CountEndpointLoadBytes(std::string_view role,
+                                            std::string_view direction,
+                                            std::size_t bytes) {
+  families_->load_bytes
+      .Add({{"role", std::string(role)}, {"direction", std::string(direction)}})
+      .Increment(static_cast<double>(bytes));
+}
+
+void GatewayMetrics::CountEndpointLoadRejected() {
+  families_->load_rejected.Add({}).Increment();
+}
+
 std::string GatewayMetrics::Serialize() const {
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -44,6 +45,18 @@
   void SetBlockedCauses(std::size_t causes);
   // Time since this instance's copy of a store table was confirmed current.
   void SetTableAge(std::string_view table, std::chrono::milliseconds age);
+  // Load that the other instances report: its age (not set if it never was
+  // known) and the interval between reports.
+  void SetEndpointLoad(std::optional<std::chrono::milliseconds> age,
+                       std::chrono::milliseconds interval);
+  // Age of the oldest instance's part of it.
+  void SetEndpointLoadOldestPart(std::chrono::milliseconds age);
+  // `role` "client": reports that this instance exchanges for itself;
+  // "reader": those that it takes from the instances that report to it.
+  void CountEndpointLoadBytes(std::string_view role,
+                              std::string_view direction,
+                              std::size_t bytes);
+  void CountEndpointLoadRejected();
   // Returns the metrics in the Prometheus text exposition format.
   std::string Serialize() const;
 
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -131,6 +131,13 @@
                     "Interval at which instances tell each other the load "
                     "that they put on endpoints; 0 turns this off, and "
                     "admission and placement with it."),
+      IntegerField("endpoint_load_bytes_per_second",
+                   &S::endpoint_load_bytes_per_second, kOptional,
+                   ValueRange<std::size_t>{256, 10000000}, "B/s",
+                   "Average of the bytes that this instance sends and "
+                   "receives to learn the load of the others; the interval is "
+                   "lengthened accordingly. Beyond 650 ms the load of the "
+                   "others counts as unknown."),
       BooleanField("admission", &S::admission, kOptional,
                    "Plain services with fewer places than instances admit "
                    "requests by the load of all instances."),
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -66,6 +66,9 @@
   // Interval at which instances tell each other the load they put on endpoints;
   // 0: they do not, and `admission` and `placement` have no effect.
   std::chrono::milliseconds endpoint_load_interval{0};
+  // Bytes of such messages that this instance sends and receives for itself, in
+  // a second; the interval is lengthened accordingly.
+  std::size_t endpoint_load_bytes_per_second = 2048;
   // Whether plain services with fewer places than instances admit requests by
   // the load of all instances.
   bool admission = false;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -8,6 +8,7 @@
 
 #include "src/common/document_reader.h"
 #include "src/gateway/crash_evidence_exchange.h"
+#include "src/gateway/endpoint_load_exchange.h"
 #include "src/gateway/operator_pages.h"
 
 namespace filbertshift {
@@ -144,6 +145,11 @@
     MergeCrashEvidence(content);
     body = SerializeCrashEvidence(
         quarantine_->Export(kMinToldCrashAge, transport_.Now()));
+  } else if (head.target == kEndpointLoadPath && loads_ != nullptr) {
+    EndpointLoadExchange::Reply reply = loads_->Receive(content);
+    response = {reply.status, std::string(ReasonPhrase(reply.status)), {}};
+    response.headers.Add("Content-Type", "application/msgpack");
+    body = std::move(reply.body);
   } else if (head.target == kMetricsPath) {
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
     body = metrics_->Serialize();
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -51,6 +51,7 @@
 // Throws FindingsError if the message is invalid.
 PeerView DecodePeerView(const std::string& bytes);
 
+class EndpointLoadExchange;
 class OperatorPages;
 
 class PeerSourceProvider {
@@ -72,6 +73,8 @@
               EventLog* log,
               GatewayMetrics* metrics);
   void SetServer(CallerServer* server) { server_ = server; }
+  // Not called if instances do not report load; then the path is unknown.
+  void SetEndpointLoad(EndpointLoadExchange* exchange) { loads_ = exchange; }
 
   void OnRequest(ConnectionId caller,
                  HttpRequestHead head,
@@ -95,6 +98,7 @@
   EventLog* const log_;
   GatewayMetrics* const metrics_;
   CallerServer* server_ = nullptr;
+  EndpointLoadExchange* loads_ = nullptr;
 };
 
 class PeerReaderListener {
--- a/src/gateway/view_source.cc
+++ b/src/gateway/view_source.cc
@@ -218,6 +218,11 @@
   return addresses;
 }
 
+std::optional<std::string> ViewSource::ReaderAddress() const {
+  return reader_.has_value() ? std::make_optional(reader_->peer_address)
+                             : std::nullopt;
+}
+
 std::optional<milliseconds> ViewSource::StoreTime() const {
   if (!store_clock_offset_.has_value()) {
     return std::nullopt;
--- a/src/gateway/view_source.h
+++ b/src/gateway/view_source.h
@@ -55,6 +55,11 @@
   // Peer addresses of the instances that read the store for others, without
   // this one.
   std::vector<std::string> ReaderAddresses() const;
+  // Whether this instance reads the store for others.
+  bool IsReader() const { return relay_.IsReader(); }
+  // Peer address of the instance whose view is read; not set if it is the
+  // store's.
+  std::optional<std::string> ReaderAddress() const;
   // All live instances as of the latest step.
   const std::vector<LiveInstance>& live() const { return live_; }
 
