--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -35,7 +35,9 @@
   ColdLimits cold;
 };
 
-class Forwarder : public HttpRequestHandler, public CallListener {
+class Forwarder : public HttpRequestHandler,
+                  public CallListener,
+                  public OwnLoadProvider {
  public:
   Forwarder(Transport* transport,
             const RequestCodec& codec,
@@ -66,6 +68,9 @@
   }
   PromptQuarantine& quarantine() { return quarantine_; }
   const PromptQuarantine& quarantine() const { return quarantine_; }
+  // Load that the other instances report; filled by EndpointLoadExchange.
+  EndpointLoadTable& load_table() { return load_table_; }
+  const EndpointLoadTable& load_table() const { return load_table_; }
   std::size_t in_progress() const { return exchanges_.size(); }
   // Bytes of responses held for their rest or for slow callers.
   std::size_t buffered_bytes() const { return buffers_.total(); }
@@ -98,6 +103,8 @@
   void OnFailed(CallId call,
                 CallFailure failure,
                 std::string_view detail) override;
+  // OwnLoadProvider:
+  LoadReport OwnLoad() override;
   // An endpoint sent bytes that no request was waiting for.
   void OnUnsolicited(const UnsolicitedBytes& unsolicited);
 
@@ -137,6 +144,12 @@
                    std::string_view reason,
                    AttemptResult result = AttemptResult::kBroken,
                    std::string_view evidence = {});
+  // Counts an attempt that ends in the traffic of its service.
+  void RecordTraffic(const Exchange& exchange,
+                     AttemptResult result,
+                     ExecutionState execution);
+  // Records the mean pause between the event blocks so far.
+  void RecordPace(const Exchange& exchange, TimePoint latest_block_at);
   // Whether the request can be sent before a planned stop.
   bool FitsBeforeStop(const Exchange& exchange) const;
   // Whether another run of it can be answered before a planned stop.
@@ -249,6 +262,9 @@
   std::optional<TimePoint> stop_at_;
   HttpClient client_;
   EndpointPool pool_;
+  EndpointLoadTable load_table_;
+  ServiceTrafficMeter traffic_;
+  PaceMeter paces_;
   RepeatBudget repeats_;
   // Keyed as `exchanges_`.
   BufferBudget buffers_;
