Count a partly sent piece whole

Cause: the limit of unsent bytes counted what is left of a piece, but a piece is freed only when all of it is sent. A caller that reads nearly all of an answer of 8 MB and stops held 8 MB and counted as a few bytes, so the memory of such callers had no bound.

Ruled out: freeing a piece by parts, which needs a copy of each large answer.

Change: SendQueue tells the memory of its blocks, and TcpLoop limits that. Small pieces are gathered in blocks of 16 KB instead of 64 KB, as each slow peer holds a block of which it may have read all but a byte.

Measured: "a piece that a peer has nearly read counts whole" and "a piece counts whole until it is sent" failed before and pass.

--- a/src/net/send_queue.cc
+++ b/src/net/send_queue.cc
@@ -6,8 +6,9 @@
 
 namespace {
 
-// Small pieces are gathered in blocks of up to this size.
-constexpr std::size_t kBlockBytes = std::size_t{64} * 1024;
+// Small pieces are gathered in blocks of up to this size. Each slow peer holds
+// a block of which it may have read all but a byte.
+constexpr std::size_t kBlockBytes = std::size_t{16} * 1024;
 
 }  // namespace
 
@@ -19,17 +20,21 @@
   if (!blocks_.empty()) {
     Block& last = blocks_.back();
     if (!last.shared && last.copied.size() + data.size() <= kBlockBytes) {
+      memory_ -= last.memory();
       last.copied.append(data);
+      memory_ += last.memory();
       return;
     }
   }
   blocks_.push_back({std::string(data), nullptr});
+  memory_ += blocks_.back().memory();
 }
 
 void SendQueue::Append(std::shared_ptr<const std::string> data) {
   if (!data->empty()) {
     size_ += data->size();
     blocks_.push_back({std::string(), std::move(data)});
+    memory_ += blocks_.back().memory();
   }
 }
 
@@ -45,6 +50,7 @@
   sent_ += bytes;
   size_ -= bytes;
   if (sent_ == blocks_.front().bytes().size()) {
+    memory_ -= blocks_.front().memory();
     blocks_.pop_front();
     sent_ = 0;
   }
@@ -54,6 +60,7 @@
   blocks_.clear();
   sent_ = 0;
   size_ = 0;
+  memory_ = 0;
 }
 
 }  // namespace filbertshift
--- a/src/net/send_queue.h
+++ b/src/net/send_queue.h
@@ -24,10 +24,16 @@
   void Remove(std::size_t bytes);
   void Clear();
   std::size_t size() const { return size_; }
+  // Memory of the blocks. A block is freed when all of it is sent, so this may
+  // be far more than `size()`.
+  std::size_t memory() const { return memory_; }
 
  private:
   struct Block {
     std::string_view bytes() const { return shared ? *shared : copied; }
+    std::size_t memory() const {
+      return shared ? shared->capacity() : copied.capacity();
+    }
     std::string copied;
     std::shared_ptr<const std::string> shared;
   };
@@ -37,6 +43,8 @@
   std::size_t sent_ = 0;
   // Invariant: the bytes of all blocks less `sent_`.
   std::size_t size_ = 0;
+  // Invariant: the sum of the blocks' memory.
+  std::size_t memory_ = 0;
 };
 
 }  // namespace filbertshift
--- a/src/net/tcp_loop.cc
+++ b/src/net/tcp_loop.cc
@@ -414,7 +414,7 @@
 
 void TcpLoop::UpdateHeldBytes(Connection* connection) {
   std::size_t bytes = connection->accepted || connection->closing
-                          ? connection->unsent.size()
+                          ? connection->unsent.memory()
                           : 0;
   held_bytes_ += bytes - connection->held_bytes;
   connection->held_bytes = bytes;
--- a/tests/unit/net/send_queue_test.cc
+++ b/tests/unit/net/send_queue_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <random>
 #include <string>
 
@@ -60,5 +61,37 @@
   CHECK(body.use_count() == 1);
 }
 
+// Guards against memory that is held and not counted: the peer of a connection
+// may read nearly all of a large piece and stop.
+TEST_CASE("a piece counts whole until it is sent", "[net]") {
+  constexpr std::size_t kBytes = 4000000;
+  SendQueue queue;
+  CHECK(queue.memory() == 0);
+  queue.Append(std::make_shared<const std::string>(kBytes, 'b'));
+  queue.Remove(kBytes - 1);
+  CHECK(queue.size() == 1);
+  CHECK(queue.memory() >= kBytes);
+  queue.Remove(1);
+  CHECK(queue.memory() == 0);
+  // Small pieces are gathered in blocks, which are freed one by one.
+  std::size_t sent = 0;
+  for (int i = 0; i < 2000; ++i) {
+    queue.Append(std::string(100, 'x'));
+    REQUIRE(queue.memory() >= queue.size());
+    REQUIRE(queue.memory() <= 2 * queue.size() + 4096);
+  }
+  while (queue.size() > 1) {
+    std::size_t bytes = std::min<std::size_t>(queue.size() - 1, 777);
+    bytes = std::min(bytes, queue.front().size());
+    queue.Remove(bytes);
+    sent += bytes;
+    REQUIRE(queue.memory() >= queue.size());
+  }
+  CHECK(sent == 199999);
+  CHECK(queue.memory() <= 32768);
+  queue.Clear();
+  CHECK(queue.memory() == 0);
+}
+
 }  // namespace
 }  // namespace filbertshift
--- a/tests/unit/net/tcp_loop_test.cc
+++ b/tests/unit/net/tcp_loop_test.cc
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <optional>
 #include <thread>
+#include <vector>
 
 #include "src/net/tcp_loop.h"
 #include "tests/unit/support/loopback.h"
@@ -220,5 +221,44 @@
   CHECK(passed_on <= static_cast<std::size_t>(received) + kMaxKernelBytes);
 }
 
+// Guards against a limit that counts only what is left of a large piece, while
+// the piece is held whole.
+TEST_CASE("a piece that a peer has nearly read counts whole", "[net]") {
+  class Server : public AcceptListener {
+   public:
+    void OnAccepted(ConnectionId id) override { ids.push_back(id); }
+    void OnData(ConnectionId, std::string_view) override {}
+    void OnEnd(ConnectionId, ConnectionEnd how) override { end = how; }
+    std::vector<ConnectionId> ids;
+    std::optional<ConnectionEnd> end;
+  };
+  int port = 0;
+  {
+    TestSocket unused = ListenOnLoopback();
+    port = LocalPortOf(unused);
+  }
+  TcpLoop loop(milliseconds(1000));
+  loop.SetSendLimit(kLargeUpload.size() * 3 / 2);
+  Server server;
+  loop.Listen(fmt::format("127.0.0.1:{}", port), &server);
+  TestSocket peers[] = {ConnectToLoopback(port), ConnectToLoopback(port)};
+  RunFor(&loop, milliseconds(20));
+  REQUIRE(server.ids.size() == 2);
+  loop.SendShared(server.ids[0],
+                  std::make_shared<const std::string>(kLargeUpload));
+  // Leaves more than the kernel takes.
+  std::size_t left = kLargeUpload.size();
+  while (left > kLargeUpload.size() / 2) {
+    RunFor(&loop, milliseconds(1));
+    left -= peers[0].ReadSome(milliseconds(10)).size();
+  }
+  REQUIRE(loop.UnsentBytes(server.ids[0]) > 0);
+  loop.SendShared(server.ids[1],
+                  std::make_shared<const std::string>(kLargeUpload));
+  RunFor(&loop, milliseconds(20));
+  CHECK(server.end == ConnectionEnd::kReset);
+  CHECK(loop.connection_count() == 1);
+}
+
 }  // namespace
 }  // namespace filbertshift
