Reset connections whose endpoint answers before it has read the request

Cause: the connection was closed in order, which sends the rest of the body first, for up to 30 s. The body stayed in memory, but counted no longer as that of a request, while a slow endpoint read what it does not need.

Ruled out: keeping the connection for reuse; the rest of the body would stand where the endpoint expects the next request.

--- a/src/gateway/http_client.cc
+++ b/src/gateway/http_client.cc
@@ -338,12 +338,16 @@
   calls_.erase(Number(call));
   connection->call = CallId{};
   connection->listener = nullptr;
-  // After a response that precedes the end of the request, the rest of the body
-  // would be sent where the peer expects the next request.
+  bool sent = transport_->UnsentBytes(id) == 0;
   bool reusable = connection->parser.keep_alive() && !connection->last &&
-                  !extra_bytes && transport_->UnsentBytes(id) == 0 &&
+                  !extra_bytes && sent &&
                   connection->request_ids.size() < kMaxRequestIds;
-  if (reusable) {
+  if (!sent) {
+    // A peer that responds before the end of the request needs no more of it,
+    // and may take long to read it.
+    connections_.erase(Number(id));
+    transport_->Abort(id);
+  } else if (reusable) {
     connection->idle_since = transport_->Now();
     connection->peer_idle_limit =
         PeerIdleLimit(connection->parser.response().headers);
--- a/tests/unit/gateway/forwarder_fixture.cc
+++ b/tests/unit/gateway/forwarder_fixture.cc
@@ -26,8 +26,9 @@
  "services":[{"name":"s","max_conns":100}],
  "tenants":[{"name":"museum","api_keys":["k1"]}]})";
 
-ForwarderLimits Limits() {
+ForwarderLimits Limits(std::size_t max_buffered_bytes) {
   ForwarderLimits limits;
+  limits.max_buffered_bytes = max_buffered_bytes;
   limits.repeats = {0.9, milliseconds(10000), 58};
   limits.cold = {1.5, 5};
   return limits;
@@ -35,7 +36,8 @@
 
 }  // namespace
 
-ForwarderFixture::ForwarderFixture(int endpoints)
+ForwarderFixture::ForwarderFixture(int endpoints,
+                                   std::size_t max_buffered_bytes)
     : view(documents, &log, this),
       forwarder(&transport,
                 headers,
@@ -43,7 +45,7 @@
                 &log,
                 &metrics,
                 DataCentreId("a"),
-                Limits(),
+                Limits(max_buffered_bytes),
                 milliseconds(100)),
       server(&transport, &forwarder) {
   forwarder.SetServer(&server);
--- a/tests/unit/support/fake_transport.cc
+++ b/tests/unit/support/fake_transport.cc
@@ -17,7 +17,8 @@
                                     ConnectionListener* listener) {
   ConnectionId id{++last_id_};
   connections_[Number(id)] =
-      Connection{address, listener, "", "", false, false, false};
+      Connection{address, listener, "", "", false, false, false, false};
+  At(id).slow = slow_.count(address) > 0;
   if (down_.count(address) > 0) {
     After(timeout, [this, id] { End(id, ConnectionEnd::kConnectFailed); });
     return id;
@@ -42,6 +43,15 @@
   }
 }
 
+std::size_t FakeTransport::UnsentBytes(ConnectionId connection) const {
+  auto found = connections_.find(Number(connection));
+  if (found == connections_.end() || found->second.closed ||
+      found->second.aborted) {
+    return 0;
+  }
+  return found->second.slow ? found->second.sent.size() : 0;
+}
+
 void FakeTransport::Close(ConnectionId connection) {
   At(connection).closed = true;
 }
@@ -76,7 +86,7 @@
 ConnectionId FakeTransport::Accept(AcceptListener* listener) {
   ConnectionId id{++last_id_};
   connections_[Number(id)] =
-      Connection{"", listener, "", "", true, false, false};
+      Connection{"", listener, "", "", true, false, false, false};
   listener->OnAccepted(id);
   return id;
 }
@@ -130,6 +140,14 @@
   return open;
 }
 
+std::string FakeTransport::TakeSent(ConnectionId connection,
+                                    std::size_t bytes) {
+  std::string* sent = &At(connection).sent;
+  std::string taken = sent->substr(0, bytes);
+  sent->erase(0, bytes);
+  return taken;
+}
+
 std::string FakeTransport::TakeSent(ConnectionId connection) {
   return std::exchange(At(connection).sent, std::string());
 }
--- a/tests/unit/support/fake_transport.h
+++ b/tests/unit/support/fake_transport.h
@@ -25,13 +25,15 @@
     bool connected = false;
     bool closed = false;
     bool aborted = false;
+    // The remote end reads only what the test takes.
+    bool slow = false;
   };
 
   ConnectionId Connect(const std::string& address,
                        std::chrono::milliseconds timeout,
                        ConnectionListener* listener) override;
   void Send(ConnectionId connection, std::string_view data) override;
-  std::size_t UnsentBytes(ConnectionId) const override { return 0; }
+  std::size_t UnsentBytes(ConnectionId connection) const override;
   bool HasUnreadData(ConnectionId connection) override {
     return IsOpen(connection) && !At(connection).unread.empty();
   }
@@ -67,6 +69,12 @@
   std::vector<ConnectionId> OpenTo(const std::string& address);
   // Returns the data sent on the connection since the last call.
   std::string TakeSent(ConnectionId connection);
+  // From now on, what is sent counts as unsent until the test takes it.
+  void SetSlow(ConnectionId connection) { At(connection).slow = true; }
+  // As SetSlow for each connection that will be opened to the address.
+  void SetSlowAddress(const std::string& address) { slow_.insert(address); }
+  // Takes at most so many bytes, from the front.
+  std::string TakeSent(ConnectionId connection, std::size_t bytes);
 
  private:
   TimePoint now_{std::chrono::hours(1)};
@@ -76,6 +84,7 @@
   std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> timers_;
   std::set<std::string> down_;
   std::set<std::string> refusing_;
+  std::set<std::string> slow_;
 };
 
 }  // namespace filbertshift
