Cut slow callers' streams only when the memory for responses is used up

Cause: a stream was cut once 4 MB of it were unread, however much memory was left. And the budget kept the count of a stream's latest event: a stream whose caller had read everything since still counted, and was moved to another endpoint as too large when another stream needed the memory.

Ruled out: a larger limit for one caller; the largest is broken off first anyway, so one caller cannot take the memory of the others.

Change: only the budget for all responses cuts streams, and what the largest holds is counted anew before it is broken off.

--- a/src/dispatch/buffer_budget.cc
+++ b/src/dispatch/buffer_budget.cc
@@ -23,6 +23,11 @@
   }
 }
 
+std::size_t BufferBudget::BytesOf(Key response) const {
+  auto found = held_.find(response);
+  return found == held_.end() ? 0 : found->second.bytes;
+}
+
 std::optional<BufferBudget::Key> BufferBudget::FindExcess() const {
   if (total_ <= max_bytes_) {
     return std::nullopt;
--- a/src/dispatch/buffer_budget.h
+++ b/src/dispatch/buffer_budget.h
@@ -23,6 +23,8 @@
   // has announced the length of the response.
   void Set(Key response, std::size_t bytes, bool has_length);
   void Remove(Key response);
+  // 0 for a response that is not held.
+  std::size_t BytesOf(Key response) const;
   // The response to break off; empty while the limit is kept. The largest of
   // those without an announced length comes first: one without an end grows
   // beyond the others, and a long response that is sound has a length.
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -191,10 +191,11 @@
   void CompleteBuffered(Exchange* exchange);
   void CompleteStream(Exchange* exchange);
   void CompleteFailure(Exchange* exchange);
-  // Returns false if the exchange has ended.
-  bool DeliverEvents(Exchange* exchange, const std::string& events);
+  void DeliverEvents(Exchange* exchange, const std::string& events);
   void ReceiveEvents(Exchange* exchange, std::string_view data);
   void ReceiveBody(Exchange* exchange, std::string_view data);
+  // Counts what is held of its response now, and returns that.
+  std::size_t CountBuffered(const Exchange& exchange);
   // Breaks responses off while they exceed the buffer budget; the exchange may
   // be one of them.
   void HoldWithinBudget(Exchange* exchange);
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -15,8 +15,6 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-// Unsent bytes after which a slow caller is disconnected.
-constexpr std::size_t kMaxUnsentBytes = std::size_t{4} * 1024 * 1024;
 // Retry-After value of 503 responses.
 constexpr double kRetryAfterSeconds = 0.4;
 // A request is not escalated to a larger model if less time than this is left.
@@ -234,9 +232,7 @@
     if (attempt.event_blocks == kGapSampleBlocks) {
       RecordGap(*exchange, transport_->Now());
     }
-    if (!DeliverEvents(exchange, events)) {
-      return;
-    }
+    DeliverEvents(exchange, events);
   }
   if (attempt.events.pending_bytes() > limits_.max_event_bytes) {
     MoveAttempt(exchange, "event too large");
@@ -245,18 +241,30 @@
   HoldWithinBudget(exchange);
 }
 
+std::size_t Forwarder::CountBuffered(const Exchange& exchange) {
+  std::size_t bytes =
+      exchange.failure_body.size() + server_->UnsentBytes(exchange.caller);
+  bool has_length = true;
+  if (exchange.attempt.has_value()) {
+    const EndpointAttempt& attempt = *exchange.attempt;
+    bytes += attempt.body.size() + attempt.events.pending_bytes();
+    has_length = attempt.head.headers.Find("Content-Length") != nullptr;
+  }
+  buffers_.Set(static_cast<std::uint64_t>(exchange.caller), bytes, has_length);
+  return bytes;
+}
+
 void Forwarder::HoldWithinBudget(Exchange* exchange) {
-  const EndpointAttempt& attempt = *exchange->attempt;
-  buffers_.Set(static_cast<std::uint64_t>(exchange->caller),
-               attempt.body.size() + attempt.events.pending_bytes() +
-                   exchange->failure_body.size() +
-                   server_->UnsentBytes(exchange->caller),
-               attempt.head.headers.Find("Content-Length") != nullptr);
+  CountBuffered(*exchange);
   while (std::optional<BufferBudget::Key> excess = buffers_.FindExcess()) {
     Exchange* largest = Find(ConnectionId{*excess});
     if (largest == nullptr) {
       buffers_.Remove(*excess);
-    } else {
+      continue;
+    }
+    // Its caller may have read since its latest bytes arrived.
+    std::size_t counted = buffers_.BytesOf(*excess);
+    if (CountBuffered(*largest) >= counted) {
       BreakOffExcess(largest);
     }
   }
@@ -301,7 +309,7 @@
   exchange->latest_delivery_at = now;
 }
 
-bool Forwarder::DeliverEvents(Exchange* exchange, const std::string& events) {
+void Forwarder::DeliverEvents(Exchange* exchange, const std::string& events) {
   std::string out;
   bool advances = false;
   std::string_view rest = events;
@@ -324,13 +332,6 @@
   BeginResponse(exchange);
   RecordDelivery(exchange);
   server_->SendStream(exchange->caller, out);
-  if (server_->UnsentBytes(exchange->caller) > kMaxUnsentBytes) {
-    exchange->failure_detail = "caller reads too slowly";
-    BreakOff(exchange, "caller_slow", "caller_slow",
-             CallerCloseReason::kSlowCaller);
-    return false;
-  }
-  return true;
 }
 
 void Forwarder::OnComplete(CallId call) {
--- a/tests/unit/gateway/slow_reader_test.cc
+++ b/tests/unit/gateway/slow_reader_test.cc
@@ -67,6 +67,43 @@
   return Contains(f->transport.TakeSent(caller), "small");
 }
 
+// Guards against an instance that cuts a sound stream although it has memory
+// for what its caller has yet to read.
+TEST_CASE("a slow caller's stream stays while there is room", "[gateway]") {
+  SmallInstance f;
+  SlowStream stream = BeginSlowStream(&f, "r1");
+  for (int i = 0; i < 12; ++i) {
+    SendEvent(&f, &stream, kMegabyte);
+    f.transport.TakeSent(stream.caller, 10);
+  }
+  REQUIRE(f.transport.IsOpen(stream.caller));
+  f.Respond(stream.arrival, std::string(kLastChunk));
+  std::string rest = f.transport.TakeSent(stream.caller);
+  CHECK(rest.size() > 12 * kMegabyte);
+  CHECK(Contains(rest, "id: 12\n"));
+  CHECK(f.forwarder.buffered_bytes() == 0);
+}
+
+// Guards against bytes that are counted although their caller has read them:
+// the stream of another caller would be cut for want of memory.
+TEST_CASE("bytes that a slow caller has read count no more", "[gateway]") {
+  SmallInstance f;
+  SlowStream first = BeginSlowStream(&f, "r1");
+  for (int i = 0; i < 12; ++i) {
+    SendEvent(&f, &first, kMegabyte);
+  }
+  f.transport.TakeSent(first.caller);
+  SlowStream second = BeginSlowStream(&f, "r2");
+  for (int i = 0; i < 10; ++i) {
+    SendEvent(&f, &second, kMegabyte);
+  }
+  CHECK(f.transport.IsOpen(first.caller));
+  // It has not been moved to another endpoint, either.
+  CHECK(f.transport.IsOpen(first.arrival.connection));
+  CHECK(f.transport.IsOpen(second.caller));
+  CHECK(f.forwarder.buffered_bytes() <= 11 * kMegabyte);
+}
+
 // Guards against an instance that is killed for the memory of what its callers
 // have yet to read, and against cutting those who do read.
 TEST_CASE("streams of slow callers stay within the bound", "[gateway]") {
