Send a rejected request to no endpoint that is known to be full

Cause: when all endpoints had rejected a request, it was sent to them again at once, up to four times within 6 ms. That uses up the budget, and an instance that starts again does not know what it used before: all 24 started again in the middle of the 10 s and spent it once more.

Ruled out: that each restarted instance uses the whole allowance because it counts itself as the only one. The rows of the others are read before it serves.

A request that was rejected before waits for room as long as for any endpoint, and is then refused as not run, instead of being sent to a full one. First sends still probe full endpoints. Two tests of copied refusals had relied on the immediate repeat at one endpoint: one adds a second endpoint after the first send, the other uses a route that waits; both check as much as before.

Result: the new test failed before.

--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -82,6 +82,7 @@
   } else if (found->second.record.started_at != record.started_at ||
              found->second.record.address != record.address) {
     found->second.avoid_until = TimePoint();
+    found->second.full_until = TimePoint();
     found->second.consecutive_breaks = 0;
     found->second.failure_rate = 0;
   }
@@ -279,7 +280,7 @@
     }
   }
   if (candidates.empty()) {
-    return {std::nullopt, false, NoEndpointReason::kNoCandidate};
+    return {std::nullopt, false, false, NoEndpointReason::kNoCandidate};
   }
   auto max_usable = static_cast<std::size_t>(query.max_endpoints);
   if (max_usable > 0) {
@@ -344,12 +345,13 @@
     best = avoided;
   }
   if (best == nullptr && all_paused) {
-    return {std::nullopt, false, NoEndpointReason::kPaused, free_at};
+    return {std::nullopt, false, false, NoEndpointReason::kPaused, free_at};
   }
   if (best == nullptr) {
-    return {std::nullopt, false, NoEndpointReason::kColdLimit};
+    return {std::nullopt, false, false, NoEndpointReason::kColdLimit};
   }
-  return {best->record.endpoint, only_avoided, NoEndpointReason::kNone};
+  return {best->record.endpoint, only_avoided, best->full_until > now,
+          NoEndpointReason::kNone};
 }
 
 void EndpointPool::OnStart(const EndpointId& endpoint,
@@ -421,7 +423,8 @@
           ((result == AttemptResult::kFailed ? 1.0 : 0.0) - entry.failure_rate);
       break;
     case AttemptResult::kRefused:
-      entry.avoid_until = std::max(entry.avoid_until, now + kAvoidAfterRefusal);
+      entry.full_until = now + kAvoidAfterRefusal;
+      entry.avoid_until = std::max(entry.avoid_until, entry.full_until);
       break;
     case AttemptResult::kUnreachable:
     case AttemptResult::kBroken:
--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -64,6 +64,8 @@
   std::optional<EndpointId> endpoint;
   // The endpoint has failed or refused lately; there is no better one.
   bool avoided = false;
+  // It has rejected a request just now: its queue is full.
+  bool full = false;
   NoEndpointReason reason = NoEndpointReason::kNone;
   // With kPaused, when the first pause ends.
   TimePoint free_at{};
@@ -158,6 +160,8 @@
     TimePoint cold_until{};
     SlidingCounter sends;
     TimePoint avoid_until{};
+    // Until then, its latest rejection says that its queue is full.
+    TimePoint full_until{};
     int consecutive_breaks = 0;
     // Moving average over executed requests; refusals are not counted.
     double failure_rate = 0;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -90,6 +90,8 @@
   int attempts = 0;
   int sends = 0;
   int runs = 0;
+  // Attempts that endpoints rejected as not run.
+  int rejections = 0;
   // Model of the latest attempt, and the confidence of the first response (-1
   // if not reported).
   ModelId model;
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -398,6 +398,7 @@
   if (attempt.response_metadata.not_run) {
     // Otherwise it may be a copy of a refusal of another request.
     bool refused = ExecutionOf(attempt) == ExecutionState::kRefused;
+    exchange->rejections += refused ? 1 : 0;
     if (refused && attempt.response_metadata.misdirected) {
       pool_.OnReplaced(attempt.endpoint, attempt.incarnation,
                        transport_->Now());
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -135,7 +135,10 @@
     return;
   }
   DispatchChoice choice = SelectEndpoint(*exchange);
-  if (!choice.endpoint.has_value()) {
+  // A further send to a queue that is known to be full only takes part of the
+  // shared repeat budget.
+  bool full = choice.full && exchange->rejections > 0;
+  if (!choice.endpoint.has_value() || full) {
     WaitForEndpoint(exchange, choice);
     return;
   }
@@ -165,9 +168,13 @@
     return;
   }
   if (now >= wait_end) {
-    exchange->failure_detail = choice.reason == NoEndpointReason::kColdLimit
-                                   ? "endpoints at cold limit"
-                                   : "no endpoint available";
+    if (choice.full) {
+      exchange->failure_detail = "endpoints are full";
+    } else if (choice.reason == NoEndpointReason::kColdLimit) {
+      exchange->failure_detail = "endpoints at cold limit";
+    } else {
+      exchange->failure_detail = "no endpoint available";
+    }
     GiveUp(exchange, 503, "no_endpoint", "no_endpoint");
     return;
   }
--- a/tests/unit/gateway/forwarder_test.cc
+++ b/tests/unit/gateway/forwarder_test.cc
@@ -65,6 +65,27 @@
   CHECK(Contains(response, "\r\n\r\ndone"));
 }
 
+// Guards against one request that is sent again and again to full endpoints and
+// uses up the repeats of all.
+TEST_CASE("a request that all endpoints rejected is not sent again",
+          "[gateway]") {
+  ForwarderFixture f;
+  ConnectionId caller = f.Request("POST", "/once/x", "r1", "", "b");
+  for (int i = 0; i < 2; ++i) {
+    f.Respond(f.NextArrival(),
+              "HTTP/1.1 503 Busy\r\nFilbertshift-Not-Executed: 1\r\n"
+              "Filbertshift-Attempt-Id: r1\r\nContent-Length: 0\r\n\r\n");
+  }
+  CHECK(f.NothingArrives(milliseconds(400)));
+  std::string response = f.transport.TakeSent(caller);
+  CHECK(Contains(response, "HTTP/1.1 503"));
+  CHECK(Contains(response, "Retry-After"));
+  CHECK(Contains(response, "\"not_run\""));
+  // Other requests still find out whether there is room again.
+  f.Request("POST", "/once/x", "r2", "", "b");
+  CHECK(Contains(f.NextArrival().text, "POST /once/x"));
+}
+
 // Guards against requests and repeats that are spent on an endpoint whose
 // address another process has taken over.
 TEST_CASE("an endpoint that was replaced is avoided until its record changes",
--- a/tests/unit/gateway/refusal_copy_test.cc
+++ b/tests/unit/gateway/refusal_copy_test.cc
@@ -90,8 +90,10 @@
   INFO(status);
   KeptConnection k;
   Arrival arrival = k.Send("POST", "/once/x");
+  k.f.PutEndpoint(2);
   k.f.Respond(arrival, Refusal(status, "r1"));
   Arrival second = k.f.NextArrival();
+  CHECK(second.endpoint == "e2");
   CHECK(Contains(second.text, "Filbertshift-Attempt-Id: r1"));
   k.f.Respond(second, ForwarderFixture::WholeResponse(200, "r1", "mine"));
   CHECK(Contains(k.f.transport.TakeSent(k.caller), "mine"));
@@ -216,7 +218,8 @@
   int status = GENERATE(503, 429, 421, 400);
   INFO(status);
   ForwarderFixture f(1);
-  ConnectionId caller = f.Request("POST", "/once/x", "r1", "", "b");
+  // May run once, and waits for a while until the endpoint has room again.
+  ConnectionId caller = f.Request("POST", "/sized-once/x", "r1", "", "b");
   Arrival first = f.NextArrival();
   f.Respond(first, Refusal(status, "r1"));
   Arrival repeat = f.NextArrival();
@@ -225,8 +228,9 @@
   f.Respond(first, Refusal(status, "r1"));
   CHECK(f.transport.TakeSent(caller).empty());
   CHECK(f.NothingArrives(milliseconds(100)));
-  f.Respond(repeat, ForwarderFixture::WholeResponse(200, "r1", "mine"));
-  CHECK(Contains(f.transport.TakeSent(caller), "mine"));
+  f.Respond(repeat,
+            ForwarderFixture::StreamHead("r1") + ForwarderFixture::Event(1));
+  CHECK(Contains(f.transport.TakeSent(caller), "data: d1"));
 }
 
 // Guards against the same for a failure, whose copy would be taken for the
