Bound the memory of counters that are never read

Cause: SlidingCounter removed old slices when it was read only. Ruled out: the counters of the retry budget and of the endpoints are read with each request.

Change: adding an event removes old slices as well.

--- a/src/dispatch/sliding_counter.cc
+++ b/src/dispatch/sliding_counter.cc
@@ -1,5 +1,7 @@
 #include "src/dispatch/sliding_counter.h"
 
+#include <algorithm>
+
 namespace filbertshift {
 
 SlidingCounter::SlidingCounter(std::chrono::milliseconds window,
@@ -8,6 +10,8 @@
 
 void SlidingCounter::Add(TimePoint now) {
   if (slices_.empty() || now - slices_.back().start >= slice_) {
+    // Some counters are read rarely or never.
+    RemoveOld(now);
     slices_.push_back(Slice{now, 0});
   }
   ++slices_.back().count;
@@ -15,11 +19,26 @@
 }
 
 std::int64_t SlidingCounter::Count(TimePoint now) {
+  RemoveOld(now);
+  return total_;
+}
+
+std::int64_t SlidingCounter::CountBetween(TimePoint from, TimePoint to) const {
+  auto slice = std::lower_bound(
+      slices_.begin(), slices_.end(), from,
+      [](const Slice& entry, TimePoint time) { return entry.start < time; });
+  std::int64_t count = 0;
+  for (; slice != slices_.end() && slice->start <= to; ++slice) {
+    count += slice->count;
+  }
+  return count;
+}
+
+void SlidingCounter::RemoveOld(TimePoint now) {
   while (!slices_.empty() && now - slices_.front().start > window_ + slice_) {
     total_ -= slices_.front().count;
     slices_.pop_front();
   }
-  return total_;
 }
 
 }  // namespace filbertshift
--- a/src/dispatch/sliding_counter.h
+++ b/src/dispatch/sliding_counter.h
@@ -4,6 +4,7 @@
 #define SRC_DISPATCH_SLIDING_COUNTER_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 
@@ -19,6 +20,10 @@
                  std::chrono::milliseconds slice);
   void Add(TimePoint now);
   std::int64_t Count(TimePoint now);
+  // Events of the slices that began in this time. The window must cover it.
+  std::int64_t CountBetween(TimePoint from, TimePoint to) const;
+  // Number of slices held, for tests of the memory bound.
+  std::size_t slices() const { return slices_.size(); }
 
  private:
   struct Slice {
@@ -26,6 +31,8 @@
     std::int64_t count = 0;
   };
 
+  void RemoveOld(TimePoint now);
+
   const std::chrono::milliseconds window_;
   const std::chrono::milliseconds slice_;
   // Invariant: ordered by start time.
