Judge crashes by the rate of crashes at their time

Cause: the number of crashes that a cause may meet was derived from the rate of crashes in the last five seconds. Seconds after an outage this rate is low again, and a part that met four crashes of the outage was blocked for ten minutes.

Change: the rate is also taken from the instance's own outcomes from five seconds before the first of the crashes to half a second after the last one, and the higher rate counts. Outcomes are kept for 65 s.

--- a/src/dispatch/prompt_quarantine.cc
+++ b/src/dispatch/prompt_quarantine.cc
@@ -33,7 +33,11 @@
 // Outcomes over which the rate of crashes is estimated.
 constexpr milliseconds kOutcomeWindow{5000};
 constexpr milliseconds kOutcomeSlice{100};
+// After its last crash, a cause is also judged by answers within this time:
+// answers later than that may come from the time after an outage.
+constexpr milliseconds kAnswersAfterCrash{500};
 constexpr milliseconds kCrashRetention{60000};
+constexpr milliseconds kOutcomeRetention = kCrashRetention + kOutcomeWindow;
 constexpr milliseconds kAnswerRetention{60000};
 // Crashes of a request alone, without parts that it shares with others.
 constexpr milliseconds kRequestRetention{30000};
@@ -417,23 +421,39 @@
 bool PromptQuarantine::IsSufficient(const CauseId& cause,
                                     const Suspicion& suspicion,
                                     TimePoint now) {
+  // Most causes end here; the number required is costly to find.
+  if (static_cast<double>(suspicion.crashes) < kMinCrashes) {
+    return false;
+  }
   bool was_answered =
       IsAnsweredSince(cause, suspicion.first - kAnswerRetention);
-  double required = RequiredCrashes(suspicion, now) +
-                    (was_answered ? kMoreCrashesIfAnswered : 0);
-  return suspicion.crashes >= required &&
-         suspicion.last - suspicion.first >=
-             (was_answered ? kMinSpanIfAnswered : kMinSpan) &&
-         (suspicion.is_request || suspicion.requests.size() >= kMinRequests);
+  if (suspicion.last - suspicion.first <
+          (was_answered ? kMinSpanIfAnswered : kMinSpan) ||
+      (!suspicion.is_request && suspicion.requests.size() < kMinRequests)) {
+    return false;
+  }
+  return suspicion.crashes >= RequiredCrashes(suspicion, now) +
+                                  (was_answered ? kMoreCrashesIfAnswered : 0);
 }
 
 double PromptQuarantine::RequiredCrashes(const Suspicion& suspicion,
                                          TimePoint now) {
-  Outcomes& outcomes = OutcomesOf(suspicion.service);
+  // After an outage the rate of crashes is low again, so that it is also
+  // estimated at the time of the crashes.
+  return std::max(RequiredCrashesAt(suspicion, now - kOutcomeWindow, now),
+                  RequiredCrashesAt(suspicion, suspicion.first - kOutcomeWindow,
+                                    suspicion.last + kAnswersAfterCrash));
+}
+
+double PromptQuarantine::RequiredCrashesAt(const Suspicion& suspicion,
+                                           TimePoint from,
+                                           TimePoint to) {
+  const Outcomes& outcomes = OutcomesOf(suspicion.service);
   auto others = std::max<std::int64_t>(
-      outcomes.crashed.Count(now) - suspicion.own_requests, 0);
+      outcomes.crashed.CountBetween(from, to) - suspicion.own_requests, 0);
   auto crashed = static_cast<double>(others) + 1;
-  auto all = static_cast<double>(outcomes.answered.Count(now)) + crashed;
+  auto all =
+      static_cast<double>(outcomes.answered.CountBetween(from, to)) + crashed;
   double rate = crashed / all;
   // Without answers, endpoints crash whatever they get.
   return rate >= 1 ? std::numeric_limits<double>::infinity()
@@ -444,7 +464,7 @@
 
 PromptQuarantine::Outcomes& PromptQuarantine::OutcomesOf(
     const ServiceId& service) {
-  SlidingCounter counter(kOutcomeWindow, kOutcomeSlice);
+  SlidingCounter counter(kOutcomeRetention, kOutcomeSlice);
   return outcomes_.emplace(service, Outcomes{counter, counter}).first->second;
 }
 
--- a/src/dispatch/prompt_quarantine.h
+++ b/src/dispatch/prompt_quarantine.h
@@ -189,6 +189,10 @@
   // crashes: those of a crashing part alone would raise the number as fast as
   // they come.
   double RequiredCrashes(const Suspicion& suspicion, TimePoint now);
+  // By the outcomes of this time.
+  double RequiredCrashesAt(const Suspicion& suspicion,
+                           TimePoint from,
+                           TimePoint to);
   Outcomes& OutcomesOf(const ServiceId& service);
 
   std::function<TrialTurn(const CauseId&)> trial_turn_ = [](const CauseId&) {
