Complete rollouts of large fleets without a late full share

Cause: a completion takes two steps, the full share and the completed state. At 1,000 requests/s with an exposure limit of 0.12 the first is allowed 1.65 s before the deadline. Where a step is known 0.4 s after it was written, the second follows 1.25 s before it, and with an order known after 0.3 s less than 1 s is left.

Change: a full share that would begin less than 0.4 s before the latest time of the completion is left out if the candidate has had 200 requests; the rollout is then completed in one step.

Measured: "a large fleet with slow views completes a rollout in time" failed before (two checks) and passes; all tests of [fleet] pass.

--- a/src/fleet/rollout_driver.cc
+++ b/src/fleet/rollout_driver.cc
@@ -30,6 +30,12 @@
 // with a delay, and another instance must have time to repeat a lost write.
 constexpr int kDeadlineMarginDivisor = 16;
 constexpr milliseconds kMaxDeadlineMargin{1500};
+// Time from one step of a rollout to the next where views are slow. A full
+// share that begins later than this before the completion would delay it.
+constexpr milliseconds kSlowStepTime{400};
+// After so many requests the few of a late full share tell nothing new, so that
+// it is left out. With 60 to 120 requests it has shown a slow version.
+constexpr std::int64_t kManyRequests = 200;
 // The first share leaves so much of the exposure limit that the full share can
 // come this long before a deadline of kFullShareDeadline or more: the step to
 // the full share and the completion follow each other through the store.
@@ -114,6 +120,12 @@
   return candidate <= inputs.limit.share * all + inputs.limit.tolerance;
 }
 
+// Whether the rollout is completed without a full share before.
+bool LeavesOutFullShare(const RolloutInputs& inputs, milliseconds remaining) {
+  return inputs.traffic.candidate >= kManyRequests &&
+         remaining < DeadlineMargin(inputs.order.deadline) + kSlowStepTime;
+}
+
 // Returns an empty value if the exposure limit leaves too few requests for a
 // load test, or the rest of the rollout too little time.
 std::optional<RolloutLoadTest> PlanLoadTest(const RolloutInputs& inputs,
@@ -245,15 +257,18 @@
     bool tested =
         !progress.load_test.has_value() ||
         inputs.store_now >= progress.load_test->until + kLoadEvidenceDelay;
-    bool due =
-        near_deadline || (tested && FullShareKeepsLimit(inputs, remaining));
+    bool left_out = LeavesOutFullShare(inputs, remaining);
+    bool due = near_deadline ||
+               (tested && !left_out && FullShareKeepsLimit(inputs, remaining));
     if (!due || inputs.candidate_endpoints == 0) {
       return std::nullopt;
     }
     if (inputs.verdict == CandidateVerdict::kSuspect) {
       return NextStep(inputs, 0, RolloutPhase::kReverted);
     }
-    return NextStep(inputs, kFullPermille, RolloutPhase::kInProgress);
+    return NextStep(
+        inputs, kFullPermille,
+        left_out ? RolloutPhase::kCompleted : RolloutPhase::kInProgress);
   }
   bool settled = inputs.store_now - progress.changed_at >=
                  deadline / kFullShareDeadlineDivisor;
