--- a/src/gateway/endpoint_load_changes.cc
+++ b/src/gateway/endpoint_load_changes.cc
@@ -52,7 +52,7 @@
   return load.waiting_tokens + load.running * kRunningRequestTokens;
 }
 
-double PaceOf(const ReportedEndpointLoad& load) {
+double MeanPace(const ReportedEndpointLoad& load) {
   return load.pace_count > 0 ? load.pace_sum / load.pace_count : 0;
 }
 
@@ -77,7 +77,7 @@
   double request_share = has_cost ? tolerance : kRequestShare;
   return requests > held.in_flight * request_share ||
          load > std::max(LoadOf(held), kSumMinLoad) * tolerance ||
-         std::abs(PaceOf(current) - PaceOf(held)) > PaceOf(held) * kPaceShare;
+         std::abs(MeanPace(current) - MeanPace(held)) > MeanPace(held) * kPaceShare;
 }
 
 }  // namespace
