Let the forwarder hold back and refuse requests by admission control

Cause: ServiceAdmission decides for new requests of plain services; the forwarder has to ask it before the first send, keep those that wait, and stop sending rejected requests from one full endpoint to the next.

Ruled out: a timer for each waiting request (one timer for all, 10 ms while something waits and 100 ms otherwise); waiting behind the admission by the crash quarantine (a trial would be held for the time of the wait); full endpoints in EndpointPool (part of another change, and they are known by service here).

--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -115,6 +115,9 @@
   kCauseBlocked = 1781,
   kCauseReleased = 1782,
   kCrashEvidenceRejected = 1783,
+  kAdmissionRefused = 1790,
+  kSheddingStarted = 1791,
+  kSheddingEnded = 1792,
 };
 
 struct EventDefinition {
