--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -118,6 +118,9 @@
   kEndpointLoadCurrent = 1790,
   kEndpointLoadUnknown = 1791,
   kEndpointLoadRejected = 1792,
+  kAdmissionRefused = 1800,
+  kSheddingStarted = 1801,
+  kSheddingEnded = 1802,
 };
 
 struct EventDefinition {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -90,8 +90,8 @@
   int attempts = 0;
   int sends = 0;
   int runs = 0;
-  // Attempts that endpoints rejected as not run.
-  int rejections = 0;
+  // Attempts that endpoints refused as not run, for whatever reason.
+  int refusals = 0;
   // Model of the latest attempt, and the confidence of the first response (-1
   // if not reported).
   ModelId model;
@@ -126,6 +126,13 @@
   bool awaits_probes = false;
   // Admitted by the quarantine; reset when an attempt breaks early.
   bool admitted = false;
+  // Set while the request waits in the admission queue of its service.
+  std::optional<TimePoint> admission_wait_since;
+  // Admission control has let it pass; it is not asked again before an endpoint
+  // has rejected the request.
+  bool may_send = false;
+  // Endpoints that rejected it because of their load.
+  int rejections = 0;
   // Why this instance ended the request itself, for the log.
   std::string end_cause;
 };
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -57,6 +57,15 @@
                               std::string_view direction,
                               std::size_t bytes);
   void CountEndpointLoadRejected();
+  // Admission control.
+  void CountAdmissionRefusal(const std::string& route, std::string_view reason);
+  // The account must be one of a bounded number.
+  void CountRefusedAccount(const std::string& account, double requests);
+  void ObserveAdmissionWait(const std::string& route,
+                            std::chrono::microseconds time);
+  void SetAdmission(const std::string& service,
+                    std::size_t waiting,
+                    double admitted_fraction);
   // Returns the metrics in the Prometheus text exposition format.
   std::string Serialize() const;
 
--- a/tests/unit/gateway/forwarder_fixture.cc
+++ b/tests/unit/gateway/forwarder_fixture.cc
@@ -26,7 +26,13 @@
  "services":[{"name":"s","max_conns":100}],
  "tenants":[{"name":"museum","api_keys":["k1"]}]})";
 
-ForwarderLimits Limits(std::size_t max_buffered_bytes) {
+}  // namespace
+
+ForwarderLimits ForwarderFixture::Limits() {
+  return Limits(ForwarderLimits().max_buffered_bytes);
+}
+
+ForwarderLimits ForwarderFixture::Limits(std::size_t max_buffered_bytes) {
   ForwarderLimits limits;
   limits.max_buffered_bytes = max_buffered_bytes;
   limits.repeats = {0.9, milliseconds(10000), 58};
@@ -34,10 +40,7 @@
   return limits;
 }
 
-}  // namespace
-
-ForwarderFixture::ForwarderFixture(int endpoints,
-                                   std::size_t max_buffered_bytes)
+ForwarderFixture::ForwarderFixture(int endpoints, const ForwarderLimits& limits)
     : view(documents, &log, this),
       forwarder(&transport,
                 headers,
@@ -45,7 +48,7 @@
                 &log,
                 &metrics,
                 DataCentreId("a"),
-                Limits(max_buffered_bytes),
+                limits,
                 milliseconds(100)),
       server(&transport, &forwarder) {
   forwarder.SetServer(&server);
--- a/tests/unit/gateway/slow_reader_test.cc
+++ b/tests/unit/gateway/slow_reader_test.cc
@@ -31,7 +31,8 @@
 // instance of 120 MB.
 struct SmallInstance : ForwarderFixture {
   explicit SmallInstance(int endpoints = 4)
-      : ForwarderFixture(endpoints, SharesOfSmallInstance().response_bytes),
+      : ForwarderFixture(endpoints,
+                         Limits(SharesOfSmallInstance().response_bytes)),
         memory(SharesOfSmallInstance().request_bytes) {
     server.SetRequestMemory(&memory);
   }
