Test the age of a late load report, and bound the memory of paces

Cause: trials with faults put into the code showed that no test noticed a response that waited in the sockets of a suspended instance and counted as new. Where the exchange is off, samples of endpoints that are gone were kept for good.

Ruled out: forgetting an endpoint's samples with its record; streams that end after that would add them again.

Change: a test of the table's age after a suspension, and decayed samples are dropped every 1024 streams.

--- a/src/dispatch/pace_meter.cc
+++ b/src/dispatch/pace_meter.cc
@@ -16,6 +16,8 @@
 constexpr double kMaxRatio = 10;
 // Samples below this weight are forgotten.
 constexpr double kMinCount = 0.01;
+// Where nothing is exported, what has decayed is dropped after so many streams.
+constexpr std::uint64_t kDropInterval = 1024;
 
 }  // namespace
 
@@ -32,6 +34,9 @@
                          const ModelId& model,
                          std::chrono::microseconds mean_pause,
                          TimePoint now) {
+  if (++streams_ % kDropInterval == 0) {
+    DropDecayed(now);
+  }
   auto key = std::pair(service, model);
   auto found = means_.find(key);
   if (found == means_.end()) {
@@ -60,6 +65,14 @@
   ++samples.count;
 }
 
+void PaceMeter::DropDecayed(TimePoint now) {
+  for (auto entry = endpoints_.begin(); entry != endpoints_.end();) {
+    Decay(&entry->second, now);
+    entry = entry->second.count < kMinCount ? endpoints_.erase(entry)
+                                            : std::next(entry);
+  }
+}
+
 void PaceMeter::Export(TimePoint now,
                        const RecordFinder& find_record,
                        LoadReport* report) {
--- a/src/dispatch/pace_meter.h
+++ b/src/dispatch/pace_meter.h
@@ -5,6 +5,7 @@
 #define SRC_DISPATCH_PACE_METER_H_
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <unordered_map>
@@ -34,6 +35,9 @@
               const RecordFinder& find_record,
               LoadReport* report);
 
+  // Endpoints with samples.
+  std::size_t size() const { return endpoints_.size(); }
+
  private:
   struct Mean {
     MovingAverage pause_us{0.05};
@@ -48,10 +52,12 @@
   };
 
   static void Decay(Samples* samples, TimePoint now);
+  void DropDecayed(TimePoint now);
 
   // Invariant: at most kMaxMeans entries; callers may name models.
   std::map<std::pair<ServiceId, ModelId>, Mean> means_;
   std::unordered_map<EndpointId, Samples> endpoints_;
+  std::uint64_t streams_ = 0;
 };
 
 }  // namespace filbertshift
--- a/tests/unit/dispatch/own_load_test.cc
+++ b/tests/unit/dispatch/own_load_test.cc
@@ -164,6 +164,19 @@
   CHECK(f.Export(kStart).pace_count == 0);
 }
 
+// Guards against memory that grows with the endpoints that come and go where
+// nothing is exported.
+TEST_CASE("endpoints are forgotten without an export", "[dispatch][load]") {
+  PaceFixture f;
+  f.LearnMean(milliseconds(20));
+  for (int i = 0; i < 20000; ++i) {
+    f.meter_.OnStream(EndpointId(std::to_string(i)), {"10.0.0.3:1", 5},
+                      kService, kModel, milliseconds(20),
+                      kStart + milliseconds(100) * i);
+  }
+  CHECK(f.meter_.size() < 2000);
+}
+
 // Guards against reports of requests that have ended, and of idle endpoints.
 TEST_CASE("the pool exports its requests in progress", "[dispatch][load]") {
   EndpointPool pool({1, 0});
--- a/tests/unit/gateway/endpoint_load_exchange_test.cc
+++ b/tests/unit/gateway/endpoint_load_exchange_test.cc
@@ -418,6 +418,25 @@
   CHECK(other->OthersAt(kShared) == -1);
 }
 
+// Guards against a response that waited in the sockets of a suspended instance
+// and counts as new.
+TEST_CASE("the table is as old as the call that it came with",
+          "[gateway][load]") {
+  LoadFleet fleet(2);
+  fleet.network.RunFor(kSettled);
+  LoadNode* reader = fleet.Select(true).front();
+  LoadNode* other = fleet.Select(false).front();
+  int before = reader->requests;
+  while (reader->requests == before) {
+    fleet.network.RunFor(milliseconds(1));
+  }
+  // Less than the timeout of a call.
+  fleet.network.SuspendUntil(other->node,
+                             fleet.network.now() + milliseconds(350));
+  fleet.network.RunFor(milliseconds(351));
+  CHECK(other->table.AgeAt(fleet.network.now()) >= milliseconds(350));
+}
+
 // Guards against an instance that is told its own load under its own name.
 TEST_CASE("a report under the own name is rejected", "[gateway][load]") {
   LoadFleet fleet(2);
