End the log at once when its process stops

Cause: the destructor of BufferedEventLog did not wake its writer, which waits up to 1 s for further lines and 50 ms more. A planned stop leaves 0.5 s between the last answers and the kill.

Ruled out: a shorter wait of the writer, which would wake an idle instance more often.

Change: the destructor wakes the writer.

--- a/src/common/buffered_event_log.cc
+++ b/src/common/buffered_event_log.cc
@@ -40,6 +40,9 @@
 
 BufferedEventLog::~BufferedEventLog() {
   stop_requested_ = true;
+  // Wakes the writer, which would wait for kIdleTimeout. A full queue has woken
+  // it already.
+  lines_.TryPush(std::string());
   writer_thread_.join();
 }
 
--- a/tests/unit/common/buffered_event_log_test.cc
+++ b/tests/unit/common/buffered_event_log_test.cc
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <chrono>
+#include <thread>
 
 #include "src/common/common.h"
 
@@ -57,5 +58,26 @@
   close(pipe_ends[0]);
 }
 
+// Guards against a process that is killed after a planned stop, because the end
+// of its log takes longer than is left.
+TEST_CASE("the end of an idle log does not wait", "[common]") {
+  std::array<int, 2> pipe_ends{};
+  REQUIRE(pipe(pipe_ends.data()) == 0);
+  SystemClock clock;
+  std::chrono::steady_clock::time_point start;
+  {
+    BufferedEventLog log(clock, InstanceId("i"), DataCentreId("d"),
+                         Severity::kInfo, pipe_ends[1], 500);
+    log.Write(EventId::kGatewayStarted, "first");
+    // The writer has nothing left to do then.
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    start = std::chrono::steady_clock::now();
+  }
+  CHECK(std::chrono::steady_clock::now() - start <
+        std::chrono::milliseconds(400));
+  close(pipe_ends[0]);
+  close(pipe_ends[1]);
+}
+
 }  // namespace
 }  // namespace filbertshift
