Play full plain endpoints, uneven data centres and slow readers in the soak

Cause: the soak had no endpoints that get full, one data centre, and peers that read at once.

New checks: an answer, and a run of a plain request, comes at most 0.7 s after its deadline; no plain request is refused without faults while an endpoint has had a free slot throughout.

--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -14,8 +14,7 @@
 
 constexpr milliseconds kConnectTimeout{1000};
 constexpr milliseconds kDeadline{4000};
-// Added to the deadline sent to the instance before the caller gives up.
-constexpr milliseconds kDeadlineMargin{700};
+constexpr milliseconds kPlainDeadline{1000};
 constexpr milliseconds kMaxIdle{5000};
 constexpr int kMaxRequestIntervalMs = 60;
 
@@ -27,6 +26,9 @@
                                          {SoakKind::kIdempotent, "/again/"},
                                          {SoakKind::kStream, "/stream/"},
                                          {SoakKind::kStreamOnce, "/tale/"}};
+constexpr RequestKind kPlainKinds[] = {
+    {SoakKind::kNonIdempotent, "/plain/"},
+    {SoakKind::kIdempotent, "/plain-again/"}};
 
 }  // namespace
 
@@ -52,8 +54,18 @@
   }
 }
 
+milliseconds SoakCaller::deadline() const {
+  return plain_ ? kPlainDeadline : kDeadline;
+}
+
 void SoakCaller::SendRequest() {
-  const RequestKind& kind = kRequestKinds[random_() % std::size(kRequestKinds)];
+  if (!active_) {
+    ScheduleNextRequest();
+    return;
+  }
+  const RequestKind& kind =
+      plain_ ? kPlainKinds[random_() % std::size(kPlainKinds)]
+             : kRequestKinds[random_() % std::size(kRequestKinds)];
   id_ = fmt::format("{}-{}", name_, ++request_count_);
   SoakRequest request;
   request.kind = kind.kind;
@@ -62,12 +74,14 @@
   request.started_at = transport_->Now();
   request.counts_for_served_ratio = counts_for_served_ratio_;
   request.key_revoked = key_revoked_;
+  request.deadline = deadline();
+  request.plain = plain_;
   std::string body = SoakBody(id_);
   std::string message = fmt::format(
       "POST {} HTTP/1.1\r\nHost: soak.example\r\nAuthorization: Bearer {}\r\n"
       "Filbertshift-Attempt-Id: {}\r\nFilbertshift-Deadline-Ms: {}\r\n"
       "Content-Length: {}\r\n\r\n{}",
-      request.target, api_key_, id_, kDeadline.count(), body.size(), body);
+      request.target, api_key_, id_, deadline().count(), body.size(), body);
   std::string instance = request.instance;
   record_->OnSent(id_, std::move(request));
   status_ = 0;
@@ -75,12 +89,12 @@
   body_.clear();
   call_ = client_.Start(instance, message, kMaxIdle, this);
   give_up_timer_ =
-      transport_->After(kDeadline + kDeadlineMargin, [this] { GiveUp(); });
+      transport_->After(deadline() + kSoakDeadlineSlack, [this] { GiveUp(); });
 }
 
 void SoakCaller::GiveUp() {
   client_.Cancel(call_);
-  record_->OnNoResponse(id_);
+  record_->OnGivenUp(id_, transport_->Now());
   FinishRequest();
 }
 
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -27,6 +27,10 @@
   void Stop() { stopped_ = true; }
   // Excludes its requests from the share that must be served without faults.
   void ExcludeFromServedRatio() { counts_for_served_ratio_ = false; }
+  // Sends requests to the plain service only, with a short deadline.
+  void UsePlainService() { plain_ = true; }
+  // While not active, it begins no request.
+  void SetActive(bool active) { active_ = active; }
   // Set once every instance has applied the revocation of the key.
   void SetKeyRevoked(bool revoked) { key_revoked_ = revoked; }
 
@@ -41,6 +45,7 @@
   void ScheduleNextRequest();
   void SendRequest();
   void GiveUp();
+  std::chrono::milliseconds deadline() const;
   void FinishRequest();
 
   Transport* const transport_;
@@ -59,6 +64,8 @@
   std::string body_;
   bool counts_for_served_ratio_ = true;
   bool key_revoked_ = false;
+  bool plain_ = false;
+  bool active_ = true;
   bool stopped_ = false;
 };
 
--- a/tests/soak/soak_record.cc
+++ b/tests/soak/soak_record.cc
@@ -48,6 +48,12 @@
     ReportViolation("the endpoint gets the request unchanged",
                     fmt::format("{}: {}", id, detail));
   }
+  if (request.plain &&
+      now > request.started_at + request.deadline + kSoakDeadlineSlack &&
+      !IsExcused(request.instance, endpoint, now)) {
+    ReportViolation("no request waits beyond its deadline",
+                    fmt::format("{} runs at {}", id, endpoint));
+  }
   if (RunsOnce(request.kind) && request.executions.size() > 1) {
     ReportViolation("a request that cannot be repeated runs once", id);
   }
@@ -90,6 +96,39 @@
   request.ended = true;
   CountIfFaultFree(request, sealed);
   CheckResponse(id, request);
+  CheckFreeSlots(id, request);
+}
+
+void SoakRecord::OnRejected(const std::string& id) {
+  auto found = requests_.find(id);
+  if (found != requests_.end()) {
+    found->second.rejected = true;
+  }
+}
+
+void SoakRecord::OnSlots(const std::string& endpoint,
+                         bool free,
+                         TimePoint now) {
+  if (free) {
+    free_since_.emplace(endpoint, now);
+  } else {
+    free_since_.erase(endpoint);
+  }
+}
+
+void SoakRecord::CheckFreeSlots(const std::string& id,
+                                const SoakRequest& request) {
+  if (!request.plain || request.rejected || !MeansNotExecuted(request.status) ||
+      !fault_free_ || request.started_at < fault_free_since_) {
+    return;
+  }
+  for (const auto& [endpoint, since] : free_since_) {
+    if (since <= request.started_at) {
+      ReportViolation(
+          "nothing is refused while slots are free throughout",
+          fmt::format("{} status {}, {}", id, request.status, endpoint));
+    }
+  }
 }
 
 void SoakRecord::OnNoResponse(const std::string& id) {
@@ -98,6 +137,15 @@
   CountIfFaultFree(request, false);
 }
 
+void SoakRecord::OnGivenUp(const std::string& id, TimePoint now) {
+  OnNoResponse(id);
+  const std::string& instance = requests_.at(id).instance;
+  if (!IsExcused(instance, std::string(), now)) {
+    ReportViolation("no request waits beyond its deadline",
+                    fmt::format("{} at {}", id, instance));
+  }
+}
+
 void SoakRecord::CheckResponse(const std::string& id,
                                const SoakRequest& request) {
   if (request.key_revoked && request.sealed) {
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -31,6 +31,8 @@
 // An endpoint that the router has left works on for at most this long after the
 // request has begun at another one.
 constexpr std::chrono::milliseconds kSoakMaxOverlap{400};
+// Time that an answer or a request may take on its way, beyond its deadline.
+constexpr std::chrono::milliseconds kSoakDeadlineSlack{700};
 // Number of events in a complete stream.
 constexpr int kSoakEventCount = 6;
 
@@ -55,6 +57,13 @@
   // Address of the instance that it was sent to.
   std::string instance;
   TimePoint started_at{};
+  // The caller waits no longer, and nothing runs then; from `started_at`.
+  std::chrono::milliseconds deadline{4000};
+  // For a service whose endpoints report their slots.
+  bool plain = false;
+  // A plain endpoint has rejected it: the retry budget, which callers do not
+  // see, may forbid another send although slots are free.
+  bool rejected = false;
   // Included in the share of requests that must be served without faults.
   bool counts_for_served_ratio = true;
   // The API key was revoked long enough ago for every instance to have applied
@@ -89,6 +98,12 @@
                   bool sealed,
                   const std::string& body);
   void OnNoResponse(const std::string& id);
+  // As OnNoResponse; the deadline and kSoakDeadlineSlack have passed.
+  void OnGivenUp(const std::string& id, TimePoint now);
+  // A plain endpoint whose queue is full has rejected the request.
+  void OnRejected(const std::string& id);
+  // A plain endpoint has a free slot, or none, from now on.
+  void OnSlots(const std::string& endpoint, bool free, TimePoint now);
   // The request has reached the endpoint.
   void OnArrival(const std::string& id,
                  const SoakIncarnation& endpoint,
@@ -123,6 +138,7 @@
  private:
   void CheckResponse(const std::string& id, const SoakRequest& request);
   void CheckStream(const std::string& id, const SoakRequest& request);
+  void CheckFreeSlots(const std::string& id, const SoakRequest& request);
   void CountIfFaultFree(const SoakRequest& request, bool served);
   bool IsExcused(const std::string& instance,
                  const std::string& endpoint,
@@ -138,6 +154,8 @@
   std::map<Pair, TimePoint> leaving_passed_on_;
   std::map<Pair, std::vector<Pause>> pauses_;
   std::map<std::string, TimePoint> excused_until_;
+  // Since when a plain endpoint has had free slots; no entry if it has none.
+  std::map<std::string, TimePoint> free_since_;
 
   std::map<std::string, SoakRequest> requests_;
   bool fault_free_ = false;
--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -58,12 +58,14 @@
 
 SoakSite::SoakSite(const SoakOptions& options)
     : options_(options),
+      variant_(options.seed),
       random_(options.seed),
       notice_random_(options.seed + 1000000),
       unruly_random_(options.seed + 2000000),
       loop_(kSilenceTimeout),
       store_(&loop_),
       store_address_(LoopbackAddress()),
+      contention_(&loop_, &record_, &store_, options.seed, LoopbackAddress),
       started_at_(loop_.Now()) {
   loop_.Listen(store_address_, store_.listener());
   PutConfiguration(true);
@@ -98,10 +100,11 @@
   }
   store_.Put(
       "op", "config",
-      fmt::format(R"({{"version":{},"routes":[{}],)"
-                  R"("services":[{{"name":"s"}}],)"
+      fmt::format(R"({{"version":{},"routes":[{}{}],)"
+                  R"("services":[{{"name":"s"}}{}],)"
                   R"("tenants":[{{"name":"{}","api_keys":["key-1"{}]}}]}})",
-                  ++configuration_version_, routes, kSoakAccount,
+                  ++configuration_version_, routes, SoakContention::Routes(),
+                  SoakContention::Services(), kSoakAccount,
                   with_second_key ? ",\"key-2\"" : ""));
 }
 
@@ -109,6 +112,7 @@
   Endpoint endpoint;
   std::string upstream = LoopbackAddress();
   endpoint.address = LoopbackAddress();
+  endpoint.data_centre = variant_.DataCentreOf(endpoints_.size());
   endpoint.worker = std::make_unique<SoakWorker>(
       &loop_, fmt::format("e{}", endpoints_.size()), random_(), &record_);
   endpoint.proxy = std::make_unique<FaultProxy>(&loop_, upstream);
@@ -120,12 +124,13 @@
 
 void SoakSite::PutEndpoint(const Endpoint& endpoint, std::string_view state) {
   ++row_count_;
-  store_.Put("servers", endpoint.worker->id(),
-             fmt::format(R"({{"service":"s","address":"{}","zone":"a",)"
-                         R"("version":"v1","slots":{},"state":"{}",)"
-                         R"("cold_remaining_ms":0,"sequence":{},"born":{}}})",
-                         endpoint.address, 32 + row_count_ % 2, state,
-                         row_count_, endpoint.worker->start()));
+  store_.Put(
+      "servers", endpoint.worker->id(),
+      fmt::format(R"({{"service":"s","address":"{}","zone":"{}",)"
+                  R"("version":"v1","slots":{},"state":"{}",)"
+                  R"("cold_remaining_ms":0,"sequence":{},"born":{}}})",
+                  endpoint.address, endpoint.data_centre, 32 + row_count_ % 2,
+                  state, row_count_, endpoint.worker->start()));
 }
 
 void SoakSite::AddInstance() {
@@ -138,13 +143,15 @@
   instance->store_proxy = std::make_unique<FaultProxy>(&loop_, store_address_);
   loop_.Listen(proxy_address, instance->store_proxy.get());
   std::ofstream(instance->settings_file) << fmt::format(
-      R"({{"instance":"{}","data_centre":"a","caller_listen":"{}",)"
+      R"({{"instance":"{}","data_centre":"{}","caller_listen":"{}",)"
       R"("readiness_listen":"{}","peer_listen":"{}","store_address":"{}",)"
       R"("configuration_apply_ms":{},"shutdown_s":{},"repeat_ratio":0.9,)"
-      R"("repeat_allowance":60,"memory_mb":{}}})",
-      instance->name, instance->caller_address, LoopbackAddress(),
-      LoopbackAddress(), proxy_address, kApplyTime.count(),
-      duration_cast<seconds>(kShutdownTime).count(), kMemoryMb);
+      R"("repeat_allowance":60,"memory_mb":{}{}}})",
+      instance->name, variant_.DataCentreOf(instances_.size()),
+      instance->caller_address, LoopbackAddress(), LoopbackAddress(),
+      proxy_address, kApplyTime.count(),
+      duration_cast<seconds>(kShutdownTime).count(), kMemoryMb,
+      variant_.Settings());
   StartProcess(instance.get());
   instances_.push_back(std::move(instance));
 }
@@ -406,6 +413,11 @@
     caller->Start();
   }
   second_caller_->Start();
+  std::vector<std::string> addresses;
+  for (const std::unique_ptr<Instance>& instance : instances_) {
+    addresses.push_back(instance->caller_address);
+  }
+  contention_.Start(addresses, options_.seed);
   TimePoint end = loop_.Now() + options_.fault_duration;
   while (loop_.Now() < end) {
     BeginUnruly();
@@ -468,6 +480,8 @@
     caller->Stop();
   }
   second_caller_->Stop();
+  contention_.Stop();
+  Log(contention_.Summary());
   RunFor(milliseconds(500));
 }
 
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -15,6 +15,7 @@
 #include "tests/process/child_process.h"
 #include "tests/soak/fault_proxy.h"
 #include "tests/soak/soak_caller.h"
+#include "tests/soak/soak_contention.h"
 #include "tests/soak/soak_record.h"
 #include "tests/soak/soak_worker.h"
 #include "tests/unit/gateway/stand_ins.h"
@@ -55,6 +56,7 @@
     std::unique_ptr<SoakWorker> worker;
     std::unique_ptr<FaultProxy> proxy;
     std::string address;
+    std::string data_centre;
   };
 
   void AddInstance();
@@ -96,6 +98,7 @@
   void Log(const std::string& text);
 
   const SoakOptions options_;
+  const SoakVariant variant_;
   std::mt19937 random_;
   // Its own, so that the other faults of a seed stay as they are.
   std::mt19937 notice_random_;
@@ -106,6 +109,7 @@
   std::string store_address_;
   std::vector<std::unique_ptr<Instance>> instances_;
   std::vector<Endpoint> endpoints_;
+  SoakContention contention_;
   std::vector<std::unique_ptr<SoakCaller>> callers_;
   // Uses the API key that is revoked and restored.
   std::unique_ptr<SoakCaller> second_caller_;
--- a/tests/unit/soak/soak_record_test.cc
+++ b/tests/unit/soak/soak_record_test.cc
@@ -19,6 +19,14 @@
   return request;
 }
 
+SoakRequest PlainRequest() {
+  SoakRequest request = Request(SoakKind::kNonIdempotent);
+  request.plain = true;
+  request.instance = "i1";
+  request.deadline = milliseconds(1000);
+  return request;
+}
+
 std::string WholeStream(const std::string& id) {
   std::string stream;
   for (int i = 1; i <= kSoakEventCount; ++i) {
@@ -117,10 +125,54 @@
     }
     record.OnArrival("a", {"e1", 1}, kNow + kPause);
   }
+  SECTION("a request that gets no answer by its deadline") {
+    record.OnGivenUp("a", kNow);
+  }
+  SECTION("a plain request that runs after its deadline") {
+    SoakRequest request = PlainRequest();
+    record.OnSent("p", request);
+    record.OnExecution(
+        "p", "",
+        kNow + request.deadline + kSoakDeadlineSlack + milliseconds(1));
+  }
+  SECTION("a refusal while an endpoint has free slots") {
+    record.SetFaultFree(true, kNow);
+    record.OnSlots("p0", false, kNow);
+    record.OnSlots("p1", true, kNow);
+    record.OnSent("p", PlainRequest());
+    record.OnResponse("p", 503, false, "");
+  }
   record.CheckRefusedRequests();
   CHECK(record.violations().size() == 1);
 }
 
+// Guards against violations that a sound router cannot avoid.
+TEST_CASE("a refusal may follow a moment without free slots", "[soak]") {
+  SoakRecord record;
+  record.OnSlots("p0", true, kNow - milliseconds(10));
+  record.OnSlots("p1", false, kNow);
+  record.OnSent("p", PlainRequest());
+  SECTION("at its endpoint") {
+    record.SetFaultFree(true, kNow);
+    record.OnSlots("p0", false, kNow + milliseconds(1));
+    record.OnSlots("p0", true, kNow + milliseconds(2));
+    record.OnResponse("p", 503, false, "");
+  }
+  SECTION("after a rejection, without retry budget") {
+    record.SetFaultFree(true, kNow);
+    record.OnRejected("p");
+    record.OnResponse("p", 503, false, "");
+  }
+  SECTION("in a fault") {
+    record.OnResponse("p", 503, false, "");
+  }
+  SECTION("of an instance that is restarted") {
+    record.ExcuseNotices("i1", kNow + milliseconds(5000));
+    record.OnGivenUp("p", kNow + milliseconds(4700));
+  }
+  CHECK(record.violations().empty());
+}
+
 TEST_CASE("notices bind neither others nor restarted instances", "[soak]") {
   constexpr std::chrono::seconds kPause(2);
   SoakRecord record;
