Add admission control of services with few slots

Cause: after one of three plain endpoints left, callers of the plain service were late or refused in every second (4,548 of 7,415 in time): every instance sends everything at once, the endpoints' queues of 24 make each answer late, and rejected requests go from one full endpoint to the next.

Ruled out: a token bucket by the own rate of arrivals (at 6 requests a second it refuses at random near the limit; by reasoning, not played); a factor on the learned capacity alone (the quantile is wrong where service times vary); cuts by response times alone (they are 0.6 to 1.6 s old, so that the limit is cut again when the queues are already empty); extrapolating the arrivals (worse in bursts).

Change: new library src/admission. AdmissionQueue moves there unchanged, its test too; the test of RetryBudget stays with routing. ServiceAdmission decides send, wait or refuse from the reported sums: FleetLimit (admitted fraction), ServiceCapacity (time of work), AccountShares (who is admitted), FullEndpointTracker and RetryAfterPlanner. Not wired yet.

Result: unit_tests "[admission]" pass.

--- a/src/routing/admission_queue.cc
+++ b/src/admission/admission_queue.cc
@@ -1,4 +1,4 @@
-#include "src/routing/admission_queue.h"
+#include "src/admission/admission_queue.h"
 
 #include <algorithm>
 #include <stdexcept>
--- a/src/routing/admission_queue.h
+++ b/src/admission/admission_queue.h
@@ -1,8 +1,8 @@
 // Queue of requests that wait for an endpoint: strict priority between classes,
 // weighted fair queueing between client accounts within a priority.
 
-#ifndef SRC_ROUTING_ADMISSION_QUEUE_H_
-#define SRC_ROUTING_ADMISSION_QUEUE_H_
+#ifndef SRC_ADMISSION_ADMISSION_QUEUE_H_
+#define SRC_ADMISSION_ADMISSION_QUEUE_H_
 
 #include <cstdint>
 #include <functional>
@@ -124,4 +124,4 @@
 
 }  // namespace filbertshift
 
-#endif  // SRC_ROUTING_ADMISSION_QUEUE_H_
+#endif  // SRC_ADMISSION_ADMISSION_QUEUE_H_
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "src/admission/admission.h"
 #include "src/config/config.h"
 #include "src/core/request.h"
 #include "src/core/request_intake.h"
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -4,7 +4,6 @@
 #ifndef SRC_ROUTING_ROUTING_H_
 #define SRC_ROUTING_ROUTING_H_
 
-#include "src/routing/admission_queue.h"
 #include "src/routing/crash_quarantine.h"
 #include "src/routing/endpoint_registry.h"
 #include "src/routing/failure_detector.h"
--- a/tests/bench/routing_bench.cc
+++ b/tests/bench/routing_bench.cc
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "src/admission/admission.h"
 #include "src/routing/routing.h"
 
 namespace filbertshift {
