Let the forwarder hold back and refuse requests by admission control

Cause: ServiceAdmission decides for new requests of plain services; the forwarder has to ask it before the first send, keep those that wait, and stop sending rejected requests from one full endpoint to the next.

On with `admission` and `endpoint_load_interval`; off, no timer runs and nothing is excluded.

--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -240,6 +240,18 @@
        "A prompt part or request that was blocked is served again."},
       {EventId::kCrashEvidenceRejected, kWarning, "crash_evidence_rejected",
        "Another instance sent evidence of crashes that cannot be decoded."},
+      {EventId::kAdmissionRefused, kInfo, "admission_refused",
+       "A request was refused before it was sent because its objective cannot "
+       "be met; the detail has the reason (overload or endpoints_full), the "
+       "admitted fraction, the expected wait and response time, the age of the "
+       "other instances' reports and Retry-After."},
+      {EventId::kSheddingStarted, kWarning, "shedding_started",
+       "A service receives more requests than its endpoints serve in time, and "
+       "this instance sends only a fraction of its own; the detail has the "
+       "fraction and the figures of the fleet that it is based on."},
+      {EventId::kSheddingEnded, kInfo, "shedding_ended",
+       "All requests of the service are sent again; the detail has the "
+       "duration, the refused requests and the accounts refused most."},
   };
   return kDefinitions;
 }
--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -115,6 +115,9 @@
   kCauseBlocked = 1781,
   kCauseReleased = 1782,
   kCrashEvidenceRejected = 1783,
+  kAdmissionRefused = 1796,
+  kSheddingStarted = 1797,
+  kSheddingEnded = 1798,
 };
 
 struct EventDefinition {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -119,6 +119,13 @@
   bool awaits_probes = false;
   // Admitted by the quarantine; reset when an attempt breaks early.
   bool admitted = false;
+  // Set while the request waits in the admission queue of its service.
+  std::optional<TimePoint> admission_wait_since;
+  // Admission control has let it pass; it is not asked again before an endpoint
+  // has rejected the request.
+  bool may_send = false;
+  // Endpoints that rejected it because of their load.
+  int rejections = 0;
   // Why this instance ended the request itself, for the log.
   std::string end_cause;
 };
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -94,9 +94,13 @@
   client_.SetUnsolicitedListener(
       [this](const UnsolicitedBytes& bytes) { OnUnsolicited(bytes); });
   ScheduleSweep();
+  if (limits_.admission) {
+    StepAdmission();
+  }
 }
 
 void Forwarder::SetInstanceCount(int count) {
+  instances_ = count;
   pool_.SetInstanceCount(count);
   repeats_.SetInstanceCount(count);
 }
@@ -318,6 +322,7 @@
   }
   transport_->Cancel(exchange->deadline_timer);
   transport_->Cancel(exchange->dispatch_timer);
+  LeaveAdmission(exchange);
   auto duration = duration_cast<microseconds>(now - exchange->arrived_at);
   bool delivered = exchange->first_delivery_at != TimePoint();
   auto first = duration_cast<milliseconds>(
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -11,7 +11,9 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 
+#include "src/admission/admission.h"
 #include "src/gateway/caller_server.h"
 #include "src/gateway/crash_watch.h"
 #include "src/gateway/endpoint_probe.h"
@@ -33,6 +35,9 @@
   std::chrono::milliseconds max_endpoint_pause{30000};
   RepeatLimits repeats;
   ColdLimits cold;
+  // Whether admission control applies to plain services with fewer slots than
+  // instances.
+  bool admission = false;
 };
 
 class Forwarder : public HttpRequestHandler, public CallListener {
@@ -70,6 +75,8 @@
   EndpointLoadTable& load_table() { return load_table_; }
   const EndpointLoadTable& load_table() const { return load_table_; }
   std::size_t in_progress() const { return exchanges_.size(); }
+  // Requests that wait in the admission queues.
+  std::size_t waiting_for_admission() const;
   // Bytes of responses held for their rest or for slow callers.
   std::size_t buffered_bytes() const { return buffers_.total(); }
   // What endpoints have asked this instance for in their answers.
@@ -164,6 +171,52 @@
                         bool crashed);
   bool MayCrashEndpoints(const Exchange& exchange) const;
 
+  // Admission control.
+  struct AdmissionGate {
+    ServiceAdmission admission;
+    // Ready endpoints of the service, some of which may not be usable now.
+    std::vector<EndpointId> endpoints;
+    TimePoint listed_at{};
+    TimePoint refreshed_at{};
+    // Set while requests are held back.
+    std::optional<TimePoint> shedding_since;
+    // Refusals since then, and those that the metrics do not have yet.
+    TopAccounts refused;
+    TopAccounts uncounted;
+    TimePoint counted_at{};
+  };
+  // Null if admission control does not apply to the request's service; it may
+  // also be inactive.
+  AdmissionGate* GateOf(const Exchange& exchange);
+  // As GateOf; null as well while everything is sent.
+  const AdmissionGate* ActiveGateOf(const Exchange& exchange) const;
+  AdmissionRequest DescribeForAdmission(const Exchange& exchange) const;
+  // Returns false if the request waits or was refused.
+  bool PassAdmission(Exchange* exchange);
+  // Applies a decision; returns whether the request may be sent.
+  bool ApplyAdmission(Exchange* exchange, const AdmissionDecision& decision);
+  void RefuseByAdmission(Exchange* exchange, const AdmissionDecision& decision);
+  // Endpoints that the request must not be sent to because they are full.
+  std::vector<EndpointId> FullEndpointsFor(const Exchange& exchange) const;
+  // The endpoint of the attempt has rejected the request. Returns true if the
+  // request goes to no further endpoint now.
+  bool HandleRejection(Exchange* exchange, const EndpointId& endpoint);
+  // No endpoint that is not full is left. Returns false if that is not why
+  // there is none.
+  bool WaitForCapacity(Exchange* exchange);
+  void ReportAdmissionAnswer(const Exchange& exchange);
+  void LeaveAdmission(Exchange* exchange);
+  void RefreshGate(const ServiceId& service, AdmissionGate* gate);
+  ServiceState AdmissionStateOf(const AdmissionGate& gate) const;
+  void ReportShedding(const ServiceId& service, AdmissionGate* gate);
+  void CountRefusedAccounts(AdmissionGate* gate);
+  // Refreshes the gates, and again after a time that depends on whether
+  // requests wait.
+  void StepAdmission();
+  void ScheduleAdmission(std::chrono::milliseconds delay);
+  void ReleaseWaiting(const ServiceId& service, AdmissionGate* gate);
+  void EndWaitingBeforeStop();
+
   // Silent attempts.
   void SweepSilentAttempts();
   void ScheduleSweep();
@@ -267,6 +320,13 @@
   EndpointProbe probe_;
   // Keyed by the caller's connection id.
   std::unordered_map<ExchangeKey, Exchange> exchanges_;
+  // By service; created with the first request of a plain service.
+  std::unordered_map<ServiceId, AdmissionGate> gates_;
+  int instances_ = 1;
+  std::optional<TimerId> admission_timer_;
+  TimePoint next_admission_step_{};
+  // Accounts that have a label in the metrics; bounded.
+  std::unordered_set<AccountId> counted_accounts_;
   // Invariant: holds exactly the calls of the attempts in progress.
   std::unordered_map<std::uint64_t, ConnectionId> callers_by_call_;
 };
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -353,6 +353,7 @@
   HttpResponseHead head = HeadForCaller(exchange->attempt->head);
   std::string body = std::move(exchange->attempt->body);
   ReportAnswered(exchange);
+  ReportAdmissionAnswer(*exchange);
   RecordOutcome(*exchange, false);
   EndAttempt(exchange, AttemptResult::kAnswered);
   metrics_->ObserveFirstByte(
@@ -388,8 +389,15 @@
   if (attempt.response_metadata.not_run) {
     // Otherwise it may be a copy of a refusal of another request.
     bool refused = ExecutionOf(attempt) == ExecutionState::kRefused;
+    bool overloaded = refused && status == 503 && !paused &&
+                      !attempt.response_metadata.leaving &&
+                      !attempt.response_metadata.misdirected;
+    EndpointId endpoint = attempt.endpoint;
     EndAttempt(exchange,
                paused ? AttemptResult::kPaused : AttemptResult::kRefused);
+    if (overloaded && HandleRejection(exchange, endpoint)) {
+      return;
+    }
     Repeat(exchange, refused ? "refused" : "unnamed_refusal");
     return;
   }
@@ -402,6 +410,7 @@
   }
   if (status < 500) {
     ReportAnswered(exchange);
+    ReportAdmissionAnswer(*exchange);
   }
   if (!paused) {
     RecordOutcome(*exchange, status >= 500);
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -81,7 +81,9 @@
   }
   query.model = exchange.model;
   query.affinity = exchange.affinity;
-  query.excluded = exchange.tried;
+  query.excluded = FullEndpointsFor(exchange);
+  query.excluded.insert(query.excluded.end(), exchange.tried.begin(),
+                        exchange.tried.end());
   query.local_data_centre = data_centre_;
   const std::vector<PromptPart>& parts = exchange.metadata.prompt_parts;
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
@@ -99,7 +101,7 @@
   DispatchChoice choice = pool_.Choose(query, now);
   if (!choice.endpoint.has_value() && !exchange.tried.empty()) {
     // Fall back to endpoints that were already tried.
-    query.excluded.clear();
+    query.excluded = FullEndpointsFor(exchange);
     choice = pool_.Choose(query, now);
   }
   if (choice.endpoint.has_value() ||
@@ -119,7 +121,8 @@
 
 void Forwarder::Dispatch(ConnectionId caller) {
   Exchange* exchange = Find(caller);
-  if (exchange == nullptr || exchange->attempt.has_value()) {
+  if (exchange == nullptr || exchange->attempt.has_value() ||
+      exchange->admission_wait_since.has_value()) {
     return;
   }
   TimePoint now = transport_->Now();
@@ -131,10 +134,13 @@
     GiveUp(exchange, 502, "shutting_down", "shutting_down");
     return;
   }
-  if (!AdmitExchange(exchange)) {
+  if (!PassAdmission(exchange) || !AdmitExchange(exchange)) {
     return;
   }
   DispatchChoice choice = SelectEndpoint(*exchange);
+  if (!choice.endpoint.has_value() && WaitForCapacity(exchange)) {
+    return;
+  }
   if (!choice.endpoint.has_value()) {
     WaitForEndpoint(exchange, choice);
     return;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -45,6 +45,8 @@
   forwarder_limits.max_endpoint_pause = settings.endpoint_retry_after_limit;
   forwarder_limits.cold.overshoot = settings.cold_overshoot;
   forwarder_limits.cold.tolerance = settings.cold_tolerance;
+  forwarder_limits.admission =
+      settings.admission && settings.endpoint_load_interval.count() > 0;
   return forwarder_limits;
 }
 
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -107,6 +107,28 @@
             "filbertshift_blocked_crash_causes",
             "Prompt parts and requests that are refused because they crash "
             "endpoints.")),
+        admission_refusals(CounterFamily(
+            registry,
+            "filbertshift_admission_refusals_total",
+            "Requests refused because their objective cannot be met, by route "
+            "and reason.")),
+        refused_accounts(CounterFamily(
+            registry,
+            "filbertshift_admission_refused_by_account_total",
+            "The same by client account, for those refused most.")),
+        admission_wait(HistogramFamily(
+            registry,
+            "filbertshift_admission_wait_seconds",
+            "Time that requests waited before they were sent or refused.")),
+        admission_waiting(
+            GaugeFamily(registry,
+                        "filbertshift_admission_waiting",
+                        "Requests that wait to be sent, by service.")),
+        admitted_fraction(
+            GaugeFamily(registry,
+                        "filbertshift_admitted_fraction",
+                        "Share of the new requests that is sent at once, by "
+                        "service.")),
         table_age(GaugeFamily(registry,
                               "filbertshift_table_age_seconds",
                               "Time since a table was known to be current.")) {}
@@ -128,6 +150,11 @@
   prometheus::Family<prometheus::Gauge>& instances;
   prometheus::Family<prometheus::Gauge>& request_memory;
   prometheus::Family<prometheus::Gauge>& blocked_causes;
+  prometheus::Family<prometheus::Counter>& admission_refusals;
+  prometheus::Family<prometheus::Counter>& refused_accounts;
+  prometheus::Family<prometheus::Histogram>& admission_wait;
+  prometheus::Family<prometheus::Gauge>& admission_waiting;
+  prometheus::Family<prometheus::Gauge>& admitted_fraction;
   prometheus::Family<prometheus::Gauge>& table_age;
 };
 
@@ -220,6 +247,33 @@
   families_->table_age.Add({{"table", std::string(table)}}).Set(Seconds(age));
 }
 
+void GatewayMetrics::CountAdmissionRefusal(const std::string& route,
+                                           std::string_view reason) {
+  families_->admission_refusals
+      .Add({{"route", route}, {"reason", std::string(reason)}})
+      .Increment();
+}
+
+void GatewayMetrics::CountRefusedAccount(const std::string& account,
+                                         double requests) {
+  families_->refused_accounts.Add({{"account", account}}).Increment(requests);
+}
+
+void GatewayMetrics::ObserveAdmissionWait(const std::string& route,
+                                          std::chrono::microseconds time) {
+  families_->admission_wait.Add({{"route", route}}, TimeBuckets())
+      .Observe(Seconds(time));
+}
+
+void GatewayMetrics::SetAdmission(const std::string& service,
+                                  std::size_t waiting,
+                                  double admitted_fraction) {
+  families_->admission_waiting.Add({{"service", service}})
+      .Set(static_cast<double>(waiting));
+  families_->admitted_fraction.Add({{"service", service}})
+      .Set(admitted_fraction);
+}
+
 std::string GatewayMetrics::Serialize() const {
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -44,6 +44,15 @@
   void SetBlockedCauses(std::size_t causes);
   // Time since this instance's copy of a store table was confirmed current.
   void SetTableAge(std::string_view table, std::chrono::milliseconds age);
+  // Admission control.
+  void CountAdmissionRefusal(const std::string& route, std::string_view reason);
+  // The account must be one of a bounded number.
+  void CountRefusedAccount(const std::string& account, double requests);
+  void ObserveAdmissionWait(const std::string& route,
+                            std::chrono::microseconds time);
+  void SetAdmission(const std::string& service,
+                    std::size_t waiting,
+                    double admitted_fraction);
   // Returns the metrics in the Prometheus text exposition format.
   std::string Serialize() const;
 
--- a/tests/unit/gateway/forwarder_fixture.cc
+++ b/tests/unit/gateway/forwarder_fixture.cc
@@ -26,16 +26,16 @@
  "services":[{"name":"s","max_conns":100}],
  "tenants":[{"name":"museum","api_keys":["k1"]}]})";
 
-ForwarderLimits Limits() {
+}  // namespace
+
+ForwarderLimits ForwarderFixture::Limits() {
   ForwarderLimits limits;
   limits.repeats = {0.9, milliseconds(10000), 58};
   limits.cold = {1.5, 5};
   return limits;
 }
 
-}  // namespace
-
-ForwarderFixture::ForwarderFixture(int endpoints)
+ForwarderFixture::ForwarderFixture(int endpoints, const ForwarderLimits& limits)
     : view(documents, &log, this),
       forwarder(&transport,
                 headers,
@@ -43,7 +43,7 @@
                 &log,
                 &metrics,
                 DataCentreId("a"),
-                Limits(),
+                limits,
                 milliseconds(100)),
       server(&transport, &forwarder) {
   forwarder.SetServer(&server);
--- a/tests/unit/gateway/forwarder_fixture.h
+++ b/tests/unit/gateway/forwarder_fixture.h
@@ -38,7 +38,9 @@
   // idempotent), /safe/ (idempotent), /stream/ (resumable stream), /sized/ (the
   // same with the models "small" and "large") and /sized-once/ (the same, not
   // resumable).
-  explicit ForwarderFixture(int endpoints = 2);
+  explicit ForwarderFixture(int endpoints = 2,
+                            const ForwarderLimits& limits = Limits());
+  static ForwarderLimits Limits();
 
   void OnConfiguration(const FleetConfiguration& configuration) override;
   void OnEndpoint(const RoutedEndpoint& record) override;
