Avoid data centres of which two hosts were found gone

Ruled out: a lower number of failed connections, which counts several failures at one host; probes by TCP connections of their own, as requests find out at no cost beyond theirs.

Change: after two distinct hosts of a data centre were found gone, by probe or failed connection and without a byte from it in between, its endpoints are avoided. One request each 500 ms tries it, but none that has already left an endpoint, and one that runs at most once only each 2 s. Where all endpoints are avoided, those of reachable data centres come first. Needs no setting: with at most one lost host the set of lost hosts never has two entries, and no decision changes.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -13,6 +13,7 @@
 #include "src/dispatch/endpoint_pool.h"
 #include "src/dispatch/endpoint_reachability.h"
 #include "src/dispatch/execution_state.h"
+#include "src/dispatch/host_losses.h"
 #include "src/dispatch/model_choice.h"
 #include "src/dispatch/moving_average.h"
 #include "src/dispatch/observed_time.h"
--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -93,7 +93,7 @@
   auto found = entries_.find(endpoint);
   if (found != entries_.end()) {
     const Entry& entry = found->second;
-    data_centres_[entry.record.data_centre].OnResponseEnded(
+    data_centres_[entry.record.data_centre].activity.OnResponseEnded(
         entry.activity.active_responses());
     entries_.erase(found);
   }
@@ -128,16 +128,15 @@
   auto centre = data_centres_.find(found->second.record.data_centre);
   silence.data_centre_stalled =
       centre != data_centres_.end() &&
-      centre->second.IsStalled(
+      centre->second.activity.IsStalled(
           allowed * kMaxStallPercent / 100,
-          observed.Since(centre->second.latest_bytes_at()));
+          observed.Since(centre->second.activity.latest_bytes_at()));
   return silence;
 }
 
-bool EndpointPool::IsUnreachable(const DataCentreId& data_centre,
-                                 TimePoint now) const {
-  auto found = data_centres_.find(data_centre);
-  return found != data_centres_.end() && found->second.IsUnreachable(now);
+bool EndpointPool::IsCutOff(const Entry& entry) const {
+  auto found = data_centres_.find(entry.record.data_centre);
+  return found != data_centres_.end() && found->second.losses.IsCutOff();
 }
 
 int EndpointPool::CountReady(const ServiceId& service,
@@ -244,6 +243,7 @@
 }
 
 bool EndpointPool::IsAvoided(Entry* entry,
+                             const DispatchQuery& query,
                              double mean_failure_rate,
                              TimePoint now) const {
   bool failing = entry->failure_rate > mean_failure_rate + kFailureRateExcess;
@@ -253,8 +253,19 @@
     // probes whether the endpoint still fails.
     entry->failure_rate = mean_failure_rate + kFailureRateExcess * 0.9;
   }
-  return entry->avoid_until > now ||
-         IsUnreachable(entry->record.data_centre, now);
+  if (entry->avoid_until > now) {
+    return true;
+  }
+  auto found = data_centres_.find(entry->record.data_centre);
+  if (found == data_centres_.end()) {
+    return false;
+  }
+  const DataCentre& centre = found->second;
+  // A request that has already lost time at an endpoint is no probe.
+  bool cut_off = query.excluded.empty()
+                     ? centre.losses.IsAvoided(query.may_probe, now)
+                     : centre.losses.IsCutOff();
+  return cut_off || centre.activity.IsUnreachable(now);
 }
 
 void EndpointPool::SortByAffinity(std::uint64_t affinity,
@@ -287,6 +298,7 @@
   double median_first_byte = MedianFirstByteMs(candidates);
   double mean_failure_rate = MeanFailureRate(candidates);
   Entry* avoided = nullptr;
+  bool avoided_cut_off = false;
   // In the order of preference; null where an endpoint cannot be used.
   std::vector<Entry*> ranked;
   std::size_t usable = 0;
@@ -304,10 +316,15 @@
       free_at = std::min(free_at, *paused_until);
     } else if (ColdLimitReached(entry, now)) {
       ranked.push_back(nullptr);
-    } else if (IsAvoided(entry, mean_failure_rate, now)) {
+    } else if (IsAvoided(entry, query, mean_failure_rate, now)) {
       ranked.push_back(nullptr);
-      if (avoided == nullptr || entry->avoid_until < avoided->avoid_until) {
+      // An endpoint that has just refused is preferred to a lost data centre.
+      bool cut_off = IsCutOff(*entry);
+      if (avoided == nullptr || cut_off < avoided_cut_off ||
+          (cut_off == avoided_cut_off &&
+           entry->avoid_until < avoided->avoid_until)) {
         avoided = entry;
+        avoided_cut_off = cut_off;
       }
     } else {
       ranked.push_back(entry);
@@ -357,7 +374,9 @@
   }
   Entry& entry = found->second;
   entry.activity.OnRequest(now, entry.in_flight == 0);
-  data_centres_[entry.record.data_centre].OnRequest(now, false);
+  DataCentre& centre = data_centres_[entry.record.data_centre];
+  centre.activity.OnRequest(now, false);
+  centre.losses.OnRequest(now);
   ++entry.in_flight;
   entry.waiting_tokens += work.prompt_tokens * work.model_weight;
   entry.sends.Add(now);
@@ -367,7 +386,9 @@
   auto found = entries_.find(endpoint);
   if (found != entries_.end()) {
     found->second.activity.OnBytes(now);
-    data_centres_[found->second.record.data_centre].OnBytes(now);
+    DataCentre& centre = data_centres_[found->second.record.data_centre];
+    centre.activity.OnBytes(now);
+    centre.losses.OnBytes();
   }
 }
 
@@ -382,7 +403,7 @@
   Entry& entry = found->second;
   OnActivity(endpoint, now);
   entry.activity.OnResponseStarted();
-  data_centres_[entry.record.data_centre].OnResponseStarted();
+  data_centres_[entry.record.data_centre].activity.OnResponseStarted();
   entry.waiting_tokens -= work.prompt_tokens * work.model_weight;
   entry.running_weight += work.model_weight;
   entry.first_byte_ms.Add(static_cast<double>(time.count()) / 1000);
@@ -401,7 +422,7 @@
   entry.in_flight = std::max(entry.in_flight - 1, 0);
   if (had_first_byte) {
     entry.activity.OnResponseEnded();
-    data_centres_[entry.record.data_centre].OnResponseEnded();
+    data_centres_[entry.record.data_centre].activity.OnResponseEnded();
     entry.running_weight =
         std::max(entry.running_weight - work.model_weight, 0.0);
   } else {
@@ -422,7 +443,9 @@
     case AttemptResult::kUnreachable:
     case AttemptResult::kBroken:
       if (result == AttemptResult::kUnreachable) {
-        data_centres_[entry.record.data_centre].OnConnectFailed();
+        DataCentre& centre = data_centres_[entry.record.data_centre];
+        centre.activity.OnConnectFailed();
+        centre.losses.OnHostGone(entry.record.address);
       }
       AvoidAfterBreak(&entry, now);
       AssumeCold(&entry, now);
@@ -456,6 +479,8 @@
 void EndpointPool::OnHostGone(const EndpointId& endpoint, TimePoint now) {
   auto found = entries_.find(endpoint);
   if (found != entries_.end()) {
+    const RoutedEndpoint& record = found->second.record;
+    data_centres_[record.data_centre].losses.OnHostGone(record.address);
     AssumeCold(&found->second, now);
   }
 }
--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -16,6 +16,7 @@
 #include "src/dispatch/attempt_result.h"
 #include "src/dispatch/endpoint_activity.h"
 #include "src/dispatch/endpoint_notices.h"
+#include "src/dispatch/host_losses.h"
 #include "src/dispatch/observed_time.h"
 #include "src/dispatch/sliding_counter.h"
 #include "src/fleet/fleet_documents.h"
@@ -46,6 +47,9 @@
   int max_endpoints = 0;
   // Endpoints to which this request has already been sent.
   std::vector<EndpointId> excluded;
+  // The request may be sent to a data centre that is probably cut off, to find
+  // out; false where the caller would suffer from its loss.
+  bool may_probe = true;
   DataCentreId local_data_centre;
 };
 
@@ -157,7 +161,14 @@
     EndpointActivity activity;
   };
 
-  bool IsUnreachable(const DataCentreId& data_centre, TimePoint now) const;
+  struct DataCentre {
+    EndpointActivity activity;
+    HostLosses losses;
+  };
+
+  // Two hosts of the entry's data centre were found gone since it was last
+  // heard of.
+  bool IsCutOff(const Entry& entry) const;
   bool IsCandidate(const Entry& entry, const DispatchQuery& query) const;
   bool IsCold(const Entry& entry, TimePoint now) const;
   bool ColdLimitReached(Entry* entry, TimePoint now) const;
@@ -167,7 +178,10 @@
   // endpoint is cold.
   void AssumeCold(Entry* entry, TimePoint now) const;
   // Whether the endpoint is used only if there is no other.
-  bool IsAvoided(Entry* entry, double mean_failure_rate, TimePoint now) const;
+  bool IsAvoided(Entry* entry,
+                 const DispatchQuery& query,
+                 double mean_failure_rate,
+                 TimePoint now) const;
   // Sorts so that all instances prefer the same endpoints for the same hash.
   static void SortByAffinity(std::uint64_t affinity,
                              std::vector<Entry*>* entries);
@@ -186,7 +200,7 @@
   bool cold_allowed_ = false;
   std::unordered_map<EndpointId, Entry> entries_;
   EndpointNotices notices_;
-  std::unordered_map<DataCentreId, EndpointActivity> data_centres_;
+  std::unordered_map<DataCentreId, DataCentre> data_centres_;
 };
 
 }  // namespace filbertshift
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -82,6 +82,7 @@
   query.model = exchange.model;
   query.affinity = exchange.affinity;
   query.excluded = exchange.tried;
+  query.may_probe = exchange.route->repeatable();
   query.local_data_centre = data_centre_;
   const std::vector<PromptPart>& parts = exchange.metadata.prompt_parts;
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
