Choose endpoints by the load of all instances, local data centre first

Cause: with fewer than two slots of an endpoint for each instance, own requests times the number of instances say little about an endpoint's load. The choice looks at all endpoints, and sends over half of the requests to other data centres where nothing is gained by it.

Change, with the setting `placement` only: ServiceEndpoints indexes endpoints by service and data centre on a hash ring; a request looks at two ring successors and three endpoints by hash; OverflowPlan says which share leaves a data centre, and a request leaves only if the wait it saves exceeds its cost. Distance is the least time to connect, response bytes are learned by route.

--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -240,6 +240,13 @@
        "A prompt part or request that was blocked is served again."},
       {EventId::kCrashEvidenceRejected, kWarning, "crash_evidence_rejected",
        "Another instance sent evidence of crashes that cannot be decoded."},
+      {EventId::kRequestsLeftDataCentre, kInfo, "requests_left_data_centre",
+       "Requests of the latest 10 s that this instance sent to another data "
+       "centre, for one reason; the detail has their number and bytes, the "
+       "bytes of all responses from there, and the largest planned share."},
+      {EventId::kOverflowBothWays, kWarning, "overflow_both_ways",
+       "By the reported load, this data centre and the destination have sent "
+       "requests to each other within 2 s. At most one each 10 s."},
   };
   return kDefinitions;
 }
--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -115,6 +115,8 @@
   kCauseBlocked = 1781,
   kCauseReleased = 1782,
   kCrashEvidenceRejected = 1783,
+  kRequestsLeftDataCentre = 1820,
+  kOverflowBothWays = 1821,
 };
 
 struct EventDefinition {
--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -43,6 +43,9 @@
 // allowed pause.
 constexpr int kMaxStallPercent = 90;
 
+// Half-life of reported paces: after it, most samples are of the new process.
+constexpr milliseconds kPaceMemory{4000};
+
 std::uint64_t Combine(std::uint64_t a, std::uint64_t b) {
   std::uint64_t values[] = {a, b};
   return XXH64(values, sizeof(values), 0);
@@ -80,6 +83,10 @@
     found->second.avoid_until = TimePoint();
     found->second.consecutive_breaks = 0;
     found->second.failure_rate = 0;
+    found->second.pace_unknown_until = now + kPaceMemory;
+  }
+  if (placement_.enabled) {
+    service_endpoints_.Put(record.endpoint, record.service, record.data_centre);
   }
   Entry& entry = found->second;
   entry.record = record;
@@ -90,6 +97,7 @@
 
 void EndpointPool::Remove(const EndpointId& endpoint, TimePoint now) {
   notices_.OnRecordRemoved(endpoint, now);
+  service_endpoints_.Remove(endpoint);
   auto found = entries_.find(endpoint);
   if (found != entries_.end()) {
     const Entry& entry = found->second;
@@ -279,6 +287,9 @@
 }
 
 DispatchChoice EndpointPool::Choose(const DispatchQuery& query, TimePoint now) {
+  if (std::optional<DispatchChoice> placed = Place(query, now)) {
+    return *placed;
+  }
   std::vector<Entry*> candidates;
   for (auto& item : entries_) {
     if (IsCandidate(item.second, query)) {
@@ -362,7 +373,9 @@
   if (best == nullptr) {
     return {std::nullopt, false, NoEndpointReason::kColdLimit};
   }
-  return {best->record.endpoint, only_avoided, NoEndpointReason::kNone};
+  bool remote = best->record.data_centre != query.local_data_centre;
+  return {best->record.endpoint, only_avoided, NoEndpointReason::kNone,
+          TimePoint(), remote ? RemoteReason::kScore : RemoteReason::kLocal};
 }
 
 void EndpointPool::OnStart(const EndpointId& endpoint,
@@ -380,6 +393,7 @@
   ++entry.in_flight;
   entry.waiting_tokens += work.prompt_tokens * work.model_weight;
   entry.sends.Add(now);
+  RecordSend(&entry, work, now);
 }
 
 void EndpointPool::OnActivity(const EndpointId& endpoint, TimePoint now) {
@@ -407,6 +421,7 @@
   entry.waiting_tokens -= work.prompt_tokens * work.model_weight;
   entry.running_weight += work.model_weight;
   entry.first_byte_ms.Add(static_cast<double>(time.count()) / 1000);
+  RecordResponse(entry, work, time);
 }
 
 void EndpointPool::OnEnd(const EndpointId& endpoint,
--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -15,23 +15,18 @@
 
 #include "src/dispatch/attempt_result.h"
 #include "src/dispatch/endpoint_activity.h"
+#include "src/dispatch/endpoint_load_table.h"
 #include "src/dispatch/endpoint_notices.h"
 #include "src/dispatch/host_losses.h"
 #include "src/dispatch/observed_time.h"
+#include "src/dispatch/overflow_plan.h"
+#include "src/dispatch/placement.h"
+#include "src/dispatch/service_endpoints.h"
 #include "src/dispatch/sliding_counter.h"
 #include "src/fleet/fleet_documents.h"
 
 namespace filbertshift {
 
-// Estimated cost of a request, in tokens of the largest model.
-struct WorkEstimate {
-  double prompt_tokens = 0;
-  // Length of the prompt prefix that an endpoint may have cached.
-  double shared_tokens = 0;
-  // Cost per token relative to the largest model.
-  double model_weight = 1;
-};
-
 struct DispatchQuery {
   ServiceId service;
   // Returns whether a version may execute the request; unset: all may.
@@ -41,6 +36,11 @@
   // Hash of the shared prompt prefix, or of the request if it has none. All
   // instances prefer the same endpoints for the same hash. 0: no affinity.
   std::uint64_t affinity = 0;
+  // Spreads requests over candidates and decides which of them leave the data
+  // centre.
+  std::uint64_t request_hash = 0;
+  // Of the request and of its expected response.
+  double bytes = 0;
   WorkEstimate work;
   // Restricts the choice to a subset of this size, which is the same on every
   // instance; 0: no restriction.
@@ -70,6 +70,17 @@
   NoEndpointReason reason = NoEndpointReason::kNone;
   // With kPaused, when the first pause ends.
   TimePoint free_at{};
+  // Why the endpoint is in another data centre.
+  RemoteReason remote = RemoteReason::kLocal;
+};
+
+// Share of a service's requests that the plan sends to another data centre.
+struct OverflowState {
+  ServiceId service;
+  DataCentreId destination;
+  double share = 0;
+  // The destination also sends, or has just sent, requests here.
+  bool both_ways = false;
 };
 
 // Recent traffic of an endpoint with requests in progress.
@@ -104,14 +115,22 @@
   void SetColdAllowed(bool allowed) { cold_allowed_ = allowed; }
   void SetConfiguration(std::shared_ptr<const FleetConfiguration> value);
   void SetEvacuated(std::function<bool(const DataCentreId&)> evacuated);
+  void SetPlacement(PlacementSettings settings);
+  // Must outlive the pool; null: the load of the others is unknown.
+  void SetLoadTable(const EndpointLoadTable* table) { load_table_ = table; }
   void Update(const RoutedEndpoint& record, TimePoint now);
   void Remove(const EndpointId& endpoint, TimePoint now);
 
   DispatchChoice Choose(const DispatchQuery& query, TimePoint now);
+  // Computes the plans that are due. Its cost grows with the number of
+  // endpoints, so it should be called often and outside the path of requests.
+  void UpdatePlans(TimePoint now);
 
   void OnStart(const EndpointId& endpoint,
                const WorkEstimate& work,
                TimePoint now);
+  // A connection to the endpoint was established in this time.
+  void OnConnected(const EndpointId& endpoint, std::chrono::microseconds time);
   void OnActivity(const EndpointId& endpoint, TimePoint now);
   void OnFirstByte(const EndpointId& endpoint,
                    const WorkEstimate& work,
@@ -135,6 +154,8 @@
                             const ObservedTime& observed) const;
   // The endpoint's host accepts no connections.
   void OnHostGone(const EndpointId& endpoint, TimePoint now);
+  // Flows out of this data centre that the plans contain now.
+  std::vector<OverflowState> Overflows(TimePoint now) const;
   // Number of ready endpoints that run the version, or any other version if
   // `same_version` is false.
   int CountReady(const ServiceId& service,
@@ -159,16 +180,89 @@
     double failure_rate = 0;
     MovingAverage first_byte_ms{0.15};
     EndpointActivity activity;
+    struct Send {
+      TimePoint at{};
+      double tokens = 0;
+    };
+    // Invariant: ordered by time; the latest are younger than the load table.
+    // Empty without placement.
+    std::vector<Send> recent_sends;
+    // The reported pace is that of the process before a restart.
+    TimePoint pace_unknown_until{};
   };
 
   struct DataCentre {
     EndpointActivity activity;
     HostLosses losses;
+    // Least time to connect; 0: unknown.
+    double connect_ms = 0;
+  };
+
+  // What placement knows of a service.
+  struct PlacedService {
+    OverflowPlan plan;
+    std::vector<DataCentreLoad> loads;
+    TimePoint updated_at{};
+    double mean_failure_rate = 0;
+    int max_slots = 0;
+    // Requests that this instance has sent since the update, and decaying sums
+    // of them and of the time that they held a slot.
+    double sends = 0;
+    double send_sum = 0;
+    double held_ms_sum = 0;
+    // Low quantile of the time that a request without a prompt takes.
+    double service_ms = 0;
+    // Low quantile of the time for each prompt token of the largest model, over
+    // the requests of this instance.
+    double ms_per_token = 0;
+    MovingAverage bytes{0.02};
+  };
+
+  struct Pick {
+    Entry* entry = nullptr;
+    double score = 0;
+    double wait_ms = 0;
   };
 
   // Two hosts of the entry's data centre were found gone since it was last
   // heard of.
   bool IsCutOff(const Entry& entry) const;
+  // Chooses by the load of all instances; empty where that does not apply.
+  std::optional<DispatchChoice> Place(const DispatchQuery& query,
+                                      TimePoint now);
+  // Does nothing if the latest update is younger than `max_age`.
+  void UpdatePlan(const ServiceEndpoints::RingsByDataCentre& rings,
+                  std::chrono::milliseconds max_age,
+                  PlacedService* service,
+                  TimePoint now);
+  DataCentreLoad LoadOf(const DataCentreId& data_centre,
+                        const EndpointRing& ring,
+                        double ms_per_token,
+                        TimePoint now);
+  // The best of a few usable endpoints of the ring; `entry` is null if none of
+  // those looked at is usable.
+  Pick PickFrom(const EndpointRing& ring,
+                const DispatchQuery& query,
+                const PlacedService& service,
+                TimePoint now);
+  // Other data centres in the order in which the request tries them.
+  std::vector<DataCentreId> OtherCentres(const DispatchQuery& query,
+                                         const PlacedService& service) const;
+  bool IsUsable(Entry* entry,
+                const DispatchQuery& query,
+                double mean_failure_rate,
+                TimePoint now);
+  CandidateLoad LoadOf(const Entry& entry,
+                       double ms_per_token,
+                       TimePoint now) const;
+  // Least time there and back, beyond that within this data centre.
+  double DistanceMs(const DataCentreId& data_centre) const;
+  // Learns from requests sent and answered.
+  void RecordSend(Entry* entry, const WorkEstimate& work, TimePoint now);
+  void RecordResponse(const Entry& entry,
+                      const WorkEstimate& work,
+                      std::chrono::microseconds time);
+
   bool IsCandidate(const Entry& entry, const DispatchQuery& query) const;
   bool IsCold(const Entry& entry, TimePoint now) const;
   bool ColdLimitReached(Entry* entry, TimePoint now) const;
@@ -201,6 +295,12 @@
   std::unordered_map<EndpointId, Entry> entries_;
   EndpointNotices notices_;
   std::unordered_map<DataCentreId, DataCentre> data_centres_;
+  PlacementSettings placement_;
+  const EndpointLoadTable* load_table_ = nullptr;
+  // Invariant: holds the endpoints of `entries_` if placement is enabled,
+  // otherwise none.
+  ServiceEndpoints service_endpoints_;
+  std::unordered_map<ServiceId, PlacedService> placed_services_;
 };
 
 }  // namespace filbertshift
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -25,6 +25,7 @@
   std::string address;
   VersionId version;
   ModelId model;
+  DataCentreId data_centre;
   WorkEstimate work;
   TimePoint started_at{};
   // When the response last advanced; `started_at` before its head. A few bytes,
@@ -47,6 +48,8 @@
   bool complete = false;
   // Whether bytes of the request may have been sent; set when the call ends.
   std::optional<bool> sent;
+  // Of the body of the response.
+  std::size_t received_bytes = 0;
   // Body of a response that is not streamed.
   std::string body;
   EventSplitter events;
@@ -70,6 +73,10 @@
   // Requests with the same session keep their version.
   std::string session;
   std::uint64_t affinity = 0;
+  // Of the request's id.
+  std::uint64_t request_hash = 0;
+  // Why the endpoint chosen last is in another data centre.
+  RemoteReason remote_reason = RemoteReason::kLocal;
   TimePoint arrived_at{};
   // The earlier of the caller's deadline and the route's timeout.
   TimePoint deadline{};
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -86,8 +86,14 @@
       buffers_(limits.max_buffered_bytes),
       versions_(limits.session_retention),
       crash_watch_(transport, log, &quarantine_),
+      remote_traffic_(log, metrics),
       observed_(transport->Now(), kSweepInterval),
       probe_(transport) {
+  pool_.SetPlacement(
+      {limits.placement, limits.remote_cost_ms_per_mb, data_centre_});
+  pool_.SetLoadTable(&load_table_);
+  client_.SetConnectListener(
+      [this](CallId call, microseconds time) { OnConnected(call, time); });
   pool_.SetEvacuated([this](const DataCentreId& data_centre_id) {
     return view_.IsEvacuated(data_centre_id);
   });
@@ -109,6 +115,22 @@
   pool_.Remove(endpoint, transport_->Now());
 }
 
+void Forwarder::OnConnected(CallId call, microseconds time) {
+  const Exchange* exchange = Find(call);
+  if (exchange != nullptr && exchange->attempt.has_value()) {
+    pool_.OnConnected(exchange->attempt->endpoint, time);
+  }
+}
+
+void Forwarder::StepPlacement() {
+  if (!limits_.placement) {
+    return;
+  }
+  TimePoint now = transport_->Now();
+  pool_.UpdatePlans(now);
+  remote_traffic_.Report(pool_.Overflows(now), now);
+}
+
 int Forwarder::CountOnOtherVersions(const ServiceId& service,
                                     const VersionId& version) const {
   return static_cast<int>(std::count_if(
@@ -229,6 +251,7 @@
   exchange->service = SelectService(*exchange);
   const RequestMetadata& metadata = exchange->metadata;
   exchange->affinity = AffinityOf(metadata);
+  exchange->request_hash = HashText(metadata.request_id);
   exchange->session =
       metadata.session.empty() ? metadata.request_id : metadata.session;
   exchange->last_event_id = metadata.last_event_id;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -17,6 +17,7 @@
 #include "src/gateway/endpoint_probe.h"
 #include "src/gateway/exchange.h"
 #include "src/gateway/gateway_metrics.h"
+#include "src/gateway/remote_traffic.h"
 
 namespace filbertshift {
 
@@ -33,6 +34,9 @@
   std::chrono::milliseconds max_endpoint_pause{30000};
   RepeatLimits repeats;
   ColdLimits cold;
+  // See PlacementSettings.
+  bool placement = false;
+  double remote_cost_ms_per_mb = 0;
 };
 
 class Forwarder : public HttpRequestHandler, public CallListener {
@@ -81,6 +85,9 @@
   // Requests of the service in progress on versions other than `version`.
   int CountOnOtherVersions(const ServiceId& service,
                            const VersionId& version) const;
+  // Updates the plans of what leaves the data centre, and their metrics and
+  // log; called about ten times a second.
+  void StepPlacement();
   std::uint64_t connections_opened() const {
     return client_.connections_opened();
   }
@@ -121,6 +128,7 @@
   bool ConfigurationIsCurrent() const;
 
   // Attempts.
+  void OnConnected(CallId call, std::chrono::microseconds time);
   void Dispatch(ConnectionId caller);
   // Cost of a token relative to the largest model of the service.
   double ModelWeight(const Exchange& exchange, const ModelId& model) const;
@@ -262,6 +270,9 @@
   RolloutEvidence evidence_;
   FirstByteWaitEstimator waits_;
   PromptTimeEstimator prompts_;
+  RemoteTraffic remote_traffic_;
+  // Bytes of whole responses, by route name.
+  std::unordered_map<std::string, MovingAverage> response_bytes_;
   ObservedTime observed_;
   EndpointReachability reachability_;
   EndpointProbe probe_;
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -202,7 +202,8 @@
 
 void Forwarder::OnBody(CallId call, std::string_view data) {
   Exchange* exchange = Find(call);
-  const EndpointAttempt& attempt = *exchange->attempt;
+  EndpointAttempt& attempt = *exchange->attempt;
+  attempt.received_bytes += data.size();
   pool_.OnActivity(attempt.endpoint, transport_->Now());
   if (exchange->route->kind == RouteKind::kStreaming &&
       IsGenuineSuccess(attempt)) {
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -35,6 +35,8 @@
 constexpr milliseconds kMaxIdle{60000};
 
 constexpr int kPermilleScale = 1000;
+// Weight of the latest response in the expected bytes of a route.
+constexpr double kResponseBytesWeight = 0.05;
 
 }  // namespace
 
@@ -81,6 +83,12 @@
   }
   query.model = exchange.model;
   query.affinity = exchange.affinity;
+  query.request_hash = exchange.request_hash;
+  auto response_bytes = response_bytes_.find(exchange.route->name);
+  query.bytes = static_cast<double>(exchange.body->size()) +
+                (response_bytes == response_bytes_.end()
+                     ? 0
+                     : response_bytes->second.value());
   query.excluded = exchange.tried;
   query.may_probe = exchange.route->repeatable();
   query.local_data_centre = data_centre_;
@@ -141,6 +149,7 @@
     return;
   }
   exchange->waiting_since.reset();
+  exchange->remote_reason = choice.remote;
   RoutedEndpoint endpoint = *pool_.Find(*choice.endpoint);
   StartAttempt(exchange, endpoint);
 }
@@ -194,6 +203,7 @@
   attempt.address = endpoint.address;
   attempt.version = endpoint.version;
   attempt.model = exchange->model;
+  attempt.data_centre = endpoint.data_centre;
   attempt.work = QueryFor(*exchange).work;
   attempt.started_at = now;
   attempt.progress_at = now;
@@ -201,6 +211,10 @@
   ++exchange->attempts;
   exchange->tried.push_back(endpoint.endpoint);
   pool_.OnStart(endpoint.endpoint, attempt.work, now);
+  if (endpoint.data_centre != data_centre_) {
+    remote_traffic_.OnSend(endpoint.data_centre, exchange->remote_reason,
+                           exchange->body->size());
+  }
   versions_.OnRequestSent(exchange->session, endpoint.version, now);
   milliseconds max_idle =
       exchange->route->repeatable() ? kMaxIdle : kMaxIdleUnrepeatable;
@@ -264,6 +278,13 @@
   pool_.OnEnd(attempt.endpoint, attempt.work, attempt.head_seen, result,
               transport_->Now());
   metrics_->CountAttempt(AttemptResultName(result));
+  if (attempt.data_centre != data_centre_) {
+    remote_traffic_.OnResponse(attempt.data_centre, attempt.received_bytes);
+  }
+  if (result == AttemptResult::kAnswered) {
+    response_bytes_.emplace(exchange->route->name, kResponseBytesWeight)
+        .first->second.Add(static_cast<double>(attempt.received_bytes));
+  }
   if (result != AttemptResult::kAnswered) {
     log_->Write(
         EventId::kRoutedAttemptEnded,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -45,6 +45,9 @@
   forwarder_limits.max_endpoint_pause = settings.endpoint_retry_after_limit;
   forwarder_limits.cold.overshoot = settings.cold_overshoot;
   forwarder_limits.cold.tolerance = settings.cold_tolerance;
+  forwarder_limits.placement =
+      settings.placement && settings.endpoint_load_interval.count() > 0;
+  forwarder_limits.remote_cost_ms_per_mb = settings.remote_cost_ms_per_mb;
   return forwarder_limits;
 }
 
@@ -169,6 +172,7 @@
   source_.Step(live, rollouts_.InProgress());
   StepQuarantine(now);
   UpdateMetrics(now);
+  forwarder_.StepPlacement();
   if (!was_ready_ && IsReady()) {
     was_ready_ = true;
     log_->Write(
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -72,6 +72,21 @@
         rejected(CounterFamily(registry,
                                "filbertshift_rejected_messages_total",
                                "Messages that are no request, by status.")),
+        remote_requests(CounterFamily(
+            registry,
+            "filbertshift_remote_requests_total",
+            "Attempts at endpoints in other data centres by destination and "
+            "reason.")),
+        remote_bytes(CounterFamily(
+            registry,
+            "filbertshift_remote_bytes_total",
+            "Bytes of requests to other data centres and of responses from "
+            "them.")),
+        overflow_share(GaugeFamily(
+            registry,
+            "filbertshift_overflow_share",
+            "Planned share of the requests that goes to another data "
+            "centre.")),
         closed(
             CounterFamily(registry,
                           "filbertshift_caller_connections_closed_total",
@@ -118,6 +133,9 @@
   prometheus::Family<prometheus::Counter>& unsolicited;
   prometheus::Family<prometheus::Counter>& broken_off;
   prometheus::Family<prometheus::Counter>& rejected;
+  prometheus::Family<prometheus::Counter>& remote_requests;
+  prometheus::Family<prometheus::Counter>& remote_bytes;
+  prometheus::Family<prometheus::Gauge>& overflow_share;
   prometheus::Family<prometheus::Counter>& closed;
   prometheus::Family<prometheus::Counter>& store_calls;
   prometheus::Family<prometheus::Counter>& violations;
@@ -155,6 +173,29 @@
   families_->broken_off.Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void GatewayMetrics::CountRemoteRequest(const std::string& destination,
+                                        std::string_view reason) {
+  families_->remote_requests
+      .Add({{"destination", destination}, {"reason", std::string(reason)}})
+      .Increment();
+}
+
+void GatewayMetrics::CountRemoteBytes(const std::string& destination,
+                                      std::string_view part,
+                                      std::size_t bytes) {
+  families_->remote_bytes
+      .Add({{"destination", destination}, {"part", std::string(part)}})
+      .Increment(static_cast<double>(bytes));
+}
+
+void GatewayMetrics::SetOverflowShare(const std::string& service,
+                                      const std::string& destination,
+                                      double share) {
+  families_->overflow_share
+      .Add({{"service", service}, {"destination", destination}})
+      .Set(share);
+}
+
 void GatewayMetrics::CountUnsolicited() {
   families_->unsolicited.Add({}).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -28,6 +28,17 @@
   // An endpoint sent bytes that no request was waiting for.
   void CountUnsolicited();
   void CountRejected(int status);
+  // An attempt at an endpoint in another data centre.
+  void CountRemoteRequest(const std::string& destination,
+                          std::string_view reason);
+  // Bytes of bodies to or from it; `part`: request or response.
+  void CountRemoteBytes(const std::string& destination,
+                        std::string_view part,
+                        std::size_t bytes);
+  // Planned share of a service's requests that goes to the data centre.
+  void SetOverflowShare(const std::string& service,
+                        const std::string& destination,
+                        double share);
   void CountCallerConnectionClosed(std::string_view reason);
   void ObserveFirstByte(const std::string& route,
                         std::chrono::microseconds time);
--- a/src/gateway/http_client.cc
+++ b/src/gateway/http_client.cc
@@ -239,6 +239,11 @@
   Connection* connection = Find(id);
   if (connection != nullptr) {
     connection->connected = true;
+    if (on_connected_ && connection->call != CallId{}) {
+      on_connected_(connection->call,
+                    std::chrono::duration_cast<std::chrono::microseconds>(
+                        transport_->Now() - connection->opened_at));
+    }
     SendRequest(id, connection);
   }
 }
--- a/src/gateway/http_client.h
+++ b/src/gateway/http_client.h
@@ -86,6 +86,9 @@
 class HttpClient : public ConnectionListener {
  public:
   using UnsolicitedListener = std::function<void(const UnsolicitedBytes&)>;
+  // A connection was established for the call in this time.
+  using ConnectListener =
+      std::function<void(CallId, std::chrono::microseconds)>;
 
   // `limits` apply to each response.
   HttpClient(Transport* transport,
@@ -110,6 +113,10 @@
   void SetUnsolicitedListener(UnsolicitedListener listener) {
     on_unsolicited_ = std::move(listener);
   }
+  // Must not start or cancel calls.
+  void SetConnectListener(ConnectListener listener) {
+    on_connected_ = std::move(listener);
+  }
   // Aborts the call and its connection; the listener is not notified.
   void Cancel(CallId call);
   // Closes all idle connections to the address.
@@ -184,6 +191,7 @@
   std::unordered_map<std::string, std::deque<ConnectionId>> idle_;
   std::unordered_map<std::uint64_t, ConnectionId> calls_;
   UnsolicitedListener on_unsolicited_;
+  ConnectListener on_connected_;
   std::uint64_t last_call_ = 0;
   std::uint64_t connections_opened_ = 0;
 };
