--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -121,6 +121,8 @@
   kAdmissionRefused = 1800,
   kSheddingStarted = 1801,
   kSheddingEnded = 1802,
+  kRequestsLeftDataCentre = 1820,
+  kOverflowBothWays = 1821,
 };
 
 struct EventDefinition {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -19,6 +19,7 @@
 #include "src/gateway/endpoint_probe.h"
 #include "src/gateway/exchange.h"
 #include "src/gateway/gateway_metrics.h"
+#include "src/gateway/remote_traffic.h"
 
 namespace filbertshift {
 
@@ -38,6 +39,9 @@
   // Whether admission control applies to plain services with fewer slots than
   // instances.
   bool admission = false;
+  // See PlacementSettings.
+  bool placement = false;
+  double remote_cost_ms_per_mb = 0;
 };
 
 class Forwarder : public HttpRequestHandler,
@@ -90,6 +94,9 @@
   // Requests of the service in progress on versions other than `version`.
   int CountOnOtherVersions(const ServiceId& service,
                            const VersionId& version) const;
+  // Updates the plans of what leaves the data centre, and their metrics and
+  // log; called about ten times a second.
+  void StepPlacement();
   std::uint64_t connections_opened() const {
     return client_.connections_opened();
   }
@@ -132,6 +139,7 @@
   bool ConfigurationIsCurrent() const;
 
   // Attempts.
+  void OnConnected(CallId call, std::chrono::microseconds time);
   void Dispatch(ConnectionId caller);
   // Cost of a token relative to the largest model of the service.
   double ModelWeight(const Exchange& exchange, const ModelId& model) const;
@@ -328,6 +336,9 @@
   RolloutEvidence evidence_;
   FirstByteWaitEstimator waits_;
   PromptTimeEstimator prompts_;
+  RemoteTraffic remote_traffic_;
+  // Bytes of whole responses, by route name.
+  std::unordered_map<std::string, MovingAverage> response_bytes_;
   ObservedTime observed_;
   EndpointReachability reachability_;
   EndpointProbe probe_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -47,6 +47,9 @@
   forwarder_limits.cold.tolerance = settings.cold_tolerance;
   forwarder_limits.admission =
       settings.admission && settings.endpoint_load_interval.count() > 0;
+  forwarder_limits.placement =
+      settings.placement && settings.endpoint_load_interval.count() > 0;
+  forwarder_limits.remote_cost_ms_per_mb = settings.remote_cost_ms_per_mb;
   return forwarder_limits;
 }
 
@@ -181,6 +184,7 @@
   }
   StepQuarantine(now);
   UpdateMetrics(now);
+  forwarder_.StepPlacement();
   if (!was_ready_ && IsReady()) {
     was_ready_ = true;
     log_->Write(
