--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -40,7 +40,9 @@
   bool admission = false;
 };
 
-class Forwarder : public HttpRequestHandler, public CallListener {
+class Forwarder : public HttpRequestHandler,
+                  public CallListener,
+                  public OwnLoadProvider {
  public:
   Forwarder(Transport* transport,
             const RequestCodec& codec,
@@ -108,6 +110,8 @@
   void OnFailed(CallId call,
                 CallFailure failure,
                 std::string_view detail) override;
+  // OwnLoadProvider:
+  LoadReport OwnLoad() override;
   // An endpoint sent bytes that no request was waiting for.
   void OnUnsolicited(const UnsolicitedBytes& unsolicited);
 
@@ -147,6 +151,12 @@
                    std::string_view reason,
                    AttemptResult result = AttemptResult::kBroken,
                    std::string_view evidence = {});
+  // Counts an attempt that ends in the traffic of its service.
+  void RecordTraffic(const Exchange& exchange,
+                     AttemptResult result,
+                     ExecutionState execution);
+  // Records the mean pause between the event blocks so far.
+  void RecordPace(const Exchange& exchange, TimePoint latest_block_at);
   // Whether the request can be sent before a planned stop.
   bool FitsBeforeStop(const Exchange& exchange) const;
   // Whether another run of it can be answered before a planned stop.
@@ -204,6 +214,8 @@
   // No endpoint that is not full is left. Returns false if that is not why
   // there is none.
   bool WaitForCapacity(Exchange* exchange);
+  // Successful responses only: others are usually faster and say nothing of the
+  // time of work.
   void ReportAdmissionAnswer(const Exchange& exchange);
   void LeaveAdmission(Exchange* exchange);
   void RefreshGate(const ServiceId& service, AdmissionGate* gate);
@@ -306,6 +318,8 @@
   HttpClient client_;
   EndpointPool pool_;
   EndpointLoadTable load_table_;
+  ServiceTrafficMeter traffic_;
+  PaceMeter paces_;
   RepeatBudget repeats_;
   // Keyed as `exchanges_`.
   BufferBudget buffers_;
