--- a/tests/unit/admission/fleet_simulation.cc
+++ b/tests/unit/admission/fleet_simulation.cc
@@ -12,7 +12,6 @@
 using std::chrono::milliseconds;
 
 constexpr microseconds kToEndpoint{900};
-constexpr microseconds kToCaller{3000};
 constexpr milliseconds kStateInterval{100};
 constexpr std::int64_t kSliceUs = 100000;
 
--- a/tests/unit/dispatch/placement_simulation.cc
+++ b/tests/unit/dispatch/placement_simulation.cc
@@ -275,7 +275,8 @@
     return;
   }
   std::size_t held = endpoint.waiting.size() + endpoint.running.size();
-  if (held >= static_cast<std::size_t>(setup_.slots + setup_.queue)) {
+  if (held >= static_cast<std::size_t>(setup_.slots) +
+                  static_cast<std::size_t>(setup_.queue)) {
     instance.pool->OnEnd(*choice.endpoint, request.work, false,
                          AttemptResult::kRefused, now_);
     Send(std::move(request));
