Forget the times of an endpoint's process when it starts again

Cause: the moving average of the time to the first byte was kept over the restart. A process whose refusals or answers took long stayed many times slower than the others, was never chosen again, and so was never measured again.

Ruled out: leaving refusals out of the average; a slow process that starts again would stay out all the same.

Change: a new start time or address clears the average.

Result: the new test failed before (one of its two checks) and passes.

--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -30,7 +30,9 @@
 // An endpoint is avoided when its failure rate exceeds the mean by this much.
 constexpr double kFailureRateExcess = 0.3;
 constexpr milliseconds kAvoidAfterFailures{1500};
-// Weight of the latest response in the moving average of the failure rate.
+// Weights of the latest response in the moving averages of the time to the
+// first byte and of the failure rate.
+constexpr double kFirstByteWeight = 0.15;
 constexpr double kFailureWeight = 0.15;
 // Load attributed to a running request, in prompt tokens.
 constexpr double kRunningRequestTokens = 250;
@@ -88,6 +90,7 @@
     found->second.full_until = TimePoint();
     found->second.consecutive_breaks = 0;
     found->second.failure_rate = 0;
+    found->second.first_byte_ms = MovingAverage(kFirstByteWeight);
     found->second.pace_unknown_until = now + kPaceMemory;
   }
   if (placement_.enabled) {
--- a/tests/unit/dispatch/endpoint_pool_test.cc
+++ b/tests/unit/dispatch/endpoint_pool_test.cc
@@ -396,5 +396,42 @@
   }
 }
 
+// Guards against an endpoint that gets no requests any more, because the times
+// of the process before its restart count against it.
+TEST_CASE("an endpoint that was slow is used after a restart", "[dispatch]") {
+  EndpointPool pool(ColdLimits{});
+  TimePoint now = kStart;
+  auto record = [](int number, std::int64_t started_at) {
+    RoutedEndpoint endpoint;
+    endpoint.endpoint = EndpointId("e" + std::to_string(number));
+    endpoint.service = ServiceId("s");
+    endpoint.address = "10.0.0." + std::to_string(number) + ":80";
+    endpoint.started_at = started_at;
+    return endpoint;
+  };
+  WorkEstimate work;
+  for (int i = 1; i <= 3; ++i) {
+    EndpointId endpoint("e" + std::to_string(i));
+    pool.Update(record(i, 1), now);
+    pool.OnStart(endpoint, work, now);
+    pool.OnFirstByte(endpoint, work, milliseconds(i == 1 ? 400 : 2), now);
+    pool.OnEnd(endpoint, work, true, AttemptResult::kAnswered, now);
+  }
+  auto first_is_chosen = [&] {
+    for (std::uint64_t i = 1; i <= 50; ++i) {
+      DispatchQuery query;
+      query.service = ServiceId("s");
+      query.affinity = i;
+      if (pool.Choose(query, now).endpoint == EndpointId("e1")) {
+        return true;
+      }
+    }
+    return false;
+  };
+  CHECK_FALSE(first_is_chosen());
+  pool.Update(record(1, 2), now);
+  CHECK(first_is_chosen());
+}
+
 }  // namespace
 }  // namespace filbertshift
