--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -115,6 +115,8 @@
   std::unique_ptr<SoakCaller> second_caller_;
   TimePoint started_at_{};
   TimePoint disrupted_until_{};
+  // When the latest removed record of an endpoint was put back.
+  TimePoint record_put_back_at_{};
   int row_count_ = 0;
   int configuration_version_ = 0;
 };
