--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0: without the disruption.
+set -uo pipefail
+cd "$(dirname "$0")"
+temporary=$(mktemp -d) || exit 2
+trap 'rm -rf "$temporary"' EXIT
+timeout -k 5 110 ../bin-2/case-8 "$(cd ../.. && pwd)" "$PWD" "$temporary"
+status=$?
+case $status in
+  0 | 1) exit $status ;;
+  *) exit 2 ;;
+esac
