--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 mkdir -p bin-2
 echo "*" > bin-2/.gitignore
 for number in 6 7 8 9 10; do
-  source=$number/case.cpp
+  source=$number/main.cpp
   if [ -f "$source" ]; then
     "${CXX:-g++}" -std=c++17 -O1 -Wall -Wextra -Istandin2 "$source" \
       -o "bin-2/case-$number" -pthread
