--- a/review/8/main.cpp
+++ b/review/8/main.cpp
@@ -1,6 +1,7 @@
 // Version v2 of a plain service is rolled out, is bad and is rolled back. Then
 // the operator orders v3. Counts the requests of sessions that run on v2
-// although the request before them in their session ran on v1.
+// although the request before them in their session ran on v1. What was sent,
+// answered and run is written to record.txt.
 
 #include "worker.hpp"
 
@@ -100,6 +101,7 @@
             "\r\nFilbertshift-Deadline-Ms: 1500\r\n" +
             (session.empty() ? "" : "Session: " + session + "\r\n") +
             "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        Log().Line("client %s sends session=%s", id.c_str(), session.c_str());
         Client::Answer answer = client.Send(head, body, 2);
         Log().Line("client %s gets %d", id.c_str(), answer.status);
         (answer.status == 200   ? served
--- a/review/standin2/standin.hpp
+++ b/review/standin2/standin.hpp
@@ -837,20 +837,19 @@
 
 // ---------------------------------------------------------------- command
 
-// run.sh passes: the repository, the folder of the case, a temporary folder.
+// run.sh passes: the repository, the path of record.txt, a temporary folder.
 struct Arguments {
   std::string root, record, temporary;
   bool trouble = true;
 };
 inline Arguments Begin(int argc, char** argv) {
   if (argc != 4) {
-    fprintf(stderr, "usage: case REPOSITORY CASE_FOLDER TEMPORARY_FOLDER\n");
+    fprintf(stderr, "usage: case REPOSITORY RECORD TEMPORARY_FOLDER\n");
     _exit(2);
   }
   signal(SIGPIPE, SIG_IGN);
   StartTime();
-  Arguments arguments{argv[1], std::string(argv[2]) + "/record.txt", argv[3],
-                      true};
+  Arguments arguments{argv[1], argv[2], argv[3], true};
   const char* trouble = getenv("TROUBLE");
   arguments.trouble = trouble == nullptr || std::string(trouble) != "0";
   Log().Open(arguments.record);
