Report a connection as reset if the reset met a write

Callers got a part of an answer as a whole one: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: a socket reports its error once. A write that met the reset took it and posted the end of the connection; a read that had become ready in the same moment then found the socket closed in order, and HttpClient completes an answer without a length at an orderly end. The same order lost whole answers that had arrived before the reset: the posted end dropped what was not read yet.

Ruled out: the order of Send and SendShared, and of Flush from a timer, which take the same path; accepted connections, whose requests always have a length.

A failed write now marks the connection as broken. What has arrived is read to its end, and the connection then ends as reset, whichever event comes first.

--- a/src/net/tcp_loop.cc
+++ b/src/net/tcp_loop.cc
@@ -41,6 +41,9 @@
 constexpr milliseconds kMaxFlushTime{30000};
 constexpr std::size_t kMaxLingerBytes = std::size_t{32} * 1024 * 1024;
 constexpr std::size_t kMaxLingering = 128;
+// Bounds what is read of a connection that cannot be written to any more, in
+// buffers of `read_buffer_`. More than the kernel holds of one connection.
+constexpr int kMaxFinalReads = 1024;
 
 // Throws boost::system::system_error for a malformed address.
 tcp::endpoint ParseAddress(const std::string& address) {
@@ -329,18 +332,20 @@
   ReadOnce(id);
 }
 
-void TcpLoop::ReadOnce(ConnectionId id) {
+bool TcpLoop::ReadOnce(ConnectionId id) {
   Connection* connection = Find(id);
   if (connection == nullptr || !connection->connected ||
       connection->peer_finished) {
-    return;
+    return false;
   }
   error_code error;
   std::size_t size =
       connection->socket.read_some(asio::buffer(read_buffer_), error);
   if (error && !WouldBlock(error)) {
-    End(id, ConnectionEndFromError(error));
-    return;
+    // A socket reports its error once. After a failed write it reads as closed.
+    End(id, connection->broken ? ConnectionEnd::kReset
+                               : ConnectionEndFromError(error));
+    return false;
   }
   if (connection->closing) {
     connection->discarded_bytes += size;
@@ -351,6 +356,14 @@
     connection->listener->OnData(id,
                                  std::string_view(read_buffer_.data(), size));
   }
+  return size > 0;
+}
+
+void TcpLoop::EndAfterFailedWrite(ConnectionId id) {
+  // A whole answer may have arrived before the reset.
+  for (int reads = 0; reads < kMaxFinalReads && ReadOnce(id); ++reads) {
+  }
+  End(id, ConnectionEnd::kReset);
 }
 
 void TcpLoop::Send(ConnectionId id, std::string_view data) {
@@ -394,8 +407,9 @@
       return true;
     }
     if (error) {
+      connection->broken = true;
       // Deferred: a caller of Send may hold iterators that OnEnd invalidates.
-      asio::post(context_, [this, id] { End(id, ConnectionEnd::kReset); });
+      asio::post(context_, [this, id] { EndAfterFailedWrite(id); });
       return false;
     }
   }
--- a/src/net/tcp_loop.h
+++ b/src/net/tcp_loop.h
@@ -86,7 +86,8 @@
     SendQueue unsent;
     // What `held_bytes_` contains of `unsent`.
     std::size_t held_bytes = 0;
-    // Reset for exceeding the send limit; the listener is yet to be told.
+    // A write has failed, or the connection was reset for exceeding the send
+    // limit; the listener is yet to be told.
     bool broken = false;
     bool accepted = false;
     // Bytes were sent that the peer had not acknowledged at the latest check.
@@ -129,7 +130,9 @@
   void StartConnect(ConnectionId id, const std::string& address);
   void FinishConnect(ConnectionId id, const boost::system::error_code& error);
   void WaitToRead(ConnectionId id);
-  void ReadOnce(ConnectionId id);
+  // Returns whether there may be more to read.
+  bool ReadOnce(ConnectionId id);
+  void EndAfterFailedWrite(ConnectionId id);
   void WaitToWrite(ConnectionId id);
   void Flush(ConnectionId id);
   // Writes until the socket accepts no more, and removes from `data` what was
--- /dev/null
+++ b/tests/unit/gateway/reset_answer_test.cc
@@ -0,0 +1,167 @@
+// Tests of answers without a length to uploads that are still being written,
+// over real sockets: a reset must not look like the end of the answer.
+
+#include <catch2/catch.hpp>
+
+#include <fmt/format.h>
+
+#include <functional>
+#include <optional>
+#include <thread>
+
+#include "src/gateway/http_client.h"
+#include "tests/unit/support/loopback.h"
+
+namespace filbertshift {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kUploadBytes = std::size_t{32} * 1024 * 1024;
+const std::string kHead = "HTTP/1.1 200 OK\r\n";
+const std::string kPart = "a part of the body";
+
+// How an endpoint ends the connection after it has sent a part of its answer.
+enum class EndOfPart {
+  // By a reset, also of what it has not read.
+  kReset,
+  // By closing a socket that holds unread bytes.
+  kCloseUnread,
+};
+
+class Outcome : public CallListener {
+ public:
+  explicit Outcome(TcpLoop* loop) : loop_(loop) {}
+  HeadDecision OnHead(CallId, const HttpResponseHead&) override {
+    return HeadDecision::kAccept;
+  }
+  void OnBody(CallId, std::string_view data) override { body.append(data); }
+  void OnComplete(CallId) override {
+    complete = true;
+    loop_->Stop();
+  }
+  void OnFailed(CallId, CallFailure reason, std::string_view) override {
+    failure = reason;
+    loop_->Stop();
+  }
+  std::string body;
+  bool complete = false;
+  std::optional<CallFailure> failure;
+
+ private:
+  TcpLoop* const loop_;
+};
+
+// Accepts one connection and serves it.
+class Endpoint {
+ public:
+  explicit Endpoint(std::function<void(TestSocket*)> serve)
+      : listener_(ListenOnLoopback()),
+        thread_([this, serve = std::move(serve)] {
+          TestSocket peer = AcceptFrom(listener_, milliseconds(2000));
+          serve(&peer);
+        }) {}
+  ~Endpoint() { thread_.join(); }
+  std::string address() const {
+    return fmt::format("127.0.0.1:{}", LocalPortOf(listener_));
+  }
+
+ private:
+  TestSocket listener_;
+  std::thread thread_;
+};
+
+// Answers as soon as the head of the request is there.
+void AnswerEarly(TestSocket* peer,
+                 const std::string& answer,
+                 EndOfPart end,
+                 milliseconds delay) {
+  peer->ReadUntil("\r\n\r\n");
+  peer->Write(answer);
+  std::this_thread::sleep_for(delay);
+  switch (end) {
+    case EndOfPart::kReset:
+      peer->Reset();
+      break;
+    case EndOfPart::kCloseUnread:
+      peer->Close();
+      break;
+  }
+}
+
+// Uploads to the endpoint and waits for the outcome.
+void Upload(const Endpoint& endpoint,
+            bool shared,
+            TcpLoop* loop,
+            Outcome* outcome) {
+  HttpClient client(loop, milliseconds(1000));
+  std::string head = fmt::format(
+      "POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n", kUploadBytes);
+  HttpCall call;
+  call.address = endpoint.address();
+  std::string body(kUploadBytes, 'u');
+  if (shared) {
+    call.message = std::move(head);
+    call.body = std::make_shared<const std::string>(std::move(body));
+  } else {
+    call.message = head + body;
+  }
+  client.Start(std::move(call), outcome);
+  loop->After(milliseconds(3000), [loop] { loop->Stop(); });
+  loop->Run();
+}
+
+// Guards against a part of an answer that the caller gets as a whole one.
+TEST_CASE("a part of an answer to an unfinished upload is no answer",
+          "[gateway]") {
+  auto end = GENERATE(EndOfPart::kReset, EndOfPart::kCloseUnread);
+  bool shared = GENERATE(true, false);
+  milliseconds delay(GENERATE(0, 5, 100));
+  constexpr int kPlays = 5;
+  for (int play = 0; play < kPlays; ++play) {
+    CAPTURE(static_cast<int>(end), shared, delay.count(), play);
+    Endpoint endpoint([&](TestSocket* peer) {
+      AnswerEarly(peer, kHead + "\r\n" + kPart, end, delay);
+    });
+    TcpLoop loop(milliseconds(1000));
+    Outcome outcome(&loop);
+    Upload(endpoint, shared, &loop, &outcome);
+    CHECK_FALSE(outcome.complete);
+    CHECK(outcome.failure == CallFailure::kBroken);
+  }
+}
+
+// Guards against the loss of an answer that is whole by its own length: its
+// endpoint needs no more of the upload.
+TEST_CASE("a whole answer to an unfinished upload is complete", "[gateway]") {
+  auto end = GENERATE(EndOfPart::kReset, EndOfPart::kCloseUnread);
+  std::string framed = GENERATE(
+      as<std::string>(), "Content-Length: 18\r\n\r\n" + kPart,
+      "Transfer-Encoding: chunked\r\n\r\n12\r\n" + kPart + "\r\n0\r\n\r\n");
+  milliseconds delay(GENERATE(0, 100));
+  CAPTURE(static_cast<int>(end), framed, delay.count());
+  Endpoint endpoint(
+      [&](TestSocket* peer) { AnswerEarly(peer, kHead + framed, end, delay); });
+  TcpLoop loop(milliseconds(1000));
+  Outcome outcome(&loop);
+  Upload(endpoint, true, &loop, &outcome);
+  CHECK(outcome.complete);
+  CHECK(outcome.body == kPart);
+}
+
+// Guards against a rule that fails every answer without a length.
+TEST_CASE("an answer without a length to a whole upload ends in order",
+          "[gateway]") {
+  Endpoint endpoint([](TestSocket* peer) {
+    peer->ReadMessage();
+    peer->Write(kHead + "\r\n" + kPart);
+  });
+  TcpLoop loop(milliseconds(1000));
+  Outcome outcome(&loop);
+  Upload(endpoint, true, &loop, &outcome);
+  CHECK(outcome.complete);
+  CHECK(outcome.body == kPart);
+}
+
+}  // namespace
+}  // namespace filbertshift
--- a/tests/unit/net/tcp_loop_test.cc
+++ b/tests/unit/net/tcp_loop_test.cc
@@ -205,6 +205,78 @@
   CHECK(EndsWithReset(upload.peer));
 }
 
+// How the loop meets the reset of a peer to which it is sending.
+enum class Meeting {
+  // The next write fails before anything is read.
+  kSend,
+  kSendShared,
+  // Reading and writing become possible in the same moment.
+  kBoth,
+};
+
+// Guards against a reset that is taken for an orderly end: the socket tells its
+// error once, to the write, and reads as closed afterwards.
+TEST_CASE("a reset in the middle of an upload is a reset", "[net]") {
+  Meeting meeting =
+      GENERATE(Meeting::kSend, Meeting::kSendShared, Meeting::kBoth);
+  bool part_read_before = GENERATE(false, true);
+  INFO(static_cast<int>(meeting) << " " << part_read_before);
+  TcpLoop loop(milliseconds(1000));
+  Upload upload(&loop);
+  if (meeting == Meeting::kBoth) {
+    loop.Send(upload.id, kLargeUpload);
+    RunFor(&loop, milliseconds(20));
+    REQUIRE(loop.UnsentBytes(upload.id) > 0);
+  }
+  REQUIRE(upload.peer.Write("part"));
+  if (part_read_before) {
+    RunFor(&loop, milliseconds(20));
+    REQUIRE(upload.recorder.data == "part");
+  }
+  upload.peer.Reset();
+  if (meeting == Meeting::kSend) {
+    loop.Send(upload.id, "more");
+  } else if (meeting == Meeting::kSendShared) {
+    loop.SendShared(upload.id, std::make_shared<const std::string>("more"));
+  }
+  RunFor(&loop, milliseconds(20));
+  CHECK(upload.recorder.end == ConnectionEnd::kReset);
+  CHECK(upload.recorder.data == "part");
+  CHECK(loop.connection_count() == 0);
+}
+
+// As above for a connection that was accepted, which a timer writes to.
+TEST_CASE("a caller that resets in the middle of an answer has reset",
+          "[net]") {
+  class Server : public AcceptListener {
+   public:
+    void OnAccepted(ConnectionId id) override { accepted = id; }
+    void OnData(ConnectionId, std::string_view bytes) override {
+      data.append(bytes);
+    }
+    void OnEnd(ConnectionId, ConnectionEnd how) override { end = how; }
+    ConnectionId accepted{};
+    std::string data;
+    std::optional<ConnectionEnd> end;
+  };
+  int port = 0;
+  {
+    TestSocket unused = ListenOnLoopback();
+    port = LocalPortOf(unused);
+  }
+  TcpLoop loop(milliseconds(1000));
+  Server server;
+  loop.Listen(fmt::format("127.0.0.1:{}", port), &server);
+  TestSocket peer = ConnectToLoopback(port);
+  REQUIRE(peer.Write("request"));
+  RunFor(&loop, milliseconds(20));
+  REQUIRE(server.data == "request");
+  peer.Reset();
+  loop.After(milliseconds(0), [&] { loop.Send(server.accepted, "event"); });
+  RunFor(&loop, milliseconds(20));
+  CHECK(server.end == ConnectionEnd::kReset);
+}
+
 // Guards against memory that the kernel holds for a peer that does not read,
 // and that no limit of the process counts: buffers for sending grow to
 // megabytes.
