Fail an answer without a length that ends before its request is sent

Callers could get a part of an answer as a whole one: an endpoint answers a long upload at once with a 200 without a length, sends a part of the body and stops. If it has read what had arrived until then, its socket closes in order, and the reset that follows comes too late.

Cause: HttpClient took every orderly end for the end of such an answer. Only the length of an answer tells its end apart from the end of its endpoint, and an endpoint that has not read its request has no reason to end in order.

Ruled out: waiting for a reset after the orderly end. An endpoint that rejects an upload and closes is reset by the rest of the upload too, so the two look alike.

TcpLoop reports an orderly end of a connection that it opened, and on which bytes are unsent, as kClosedEarly; only kClosed completes an answer without a length. Answers with a length or chunks are complete as before, and so are answers without one whose request was sent.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -43,6 +43,7 @@
       return CallerCloseReason::kCallerClosed;
     case ConnectionEnd::kSilent:
       return CallerCloseReason::kCallerSilent;
+    case ConnectionEnd::kClosedEarly:
     case ConnectionEnd::kReset:
     case ConnectionEnd::kConnectFailed:
     case ConnectionEnd::kRefused:
--- a/src/net/tcp_loop.cc
+++ b/src/net/tcp_loop.cc
@@ -108,6 +108,8 @@
   switch (end) {
     case ConnectionEnd::kClosed:
       return "closed";
+    case ConnectionEnd::kClosedEarly:
+      return "closed_early";
     case ConnectionEnd::kReset:
       return "reset";
     case ConnectionEnd::kSilent:
@@ -586,6 +588,10 @@
   Connection* connection = found->second.get();
   ConnectionListener* listener = connection->listener;
   bool closing = connection->closing;
+  if (end == ConnectionEnd::kClosed && !connection->accepted &&
+      UnsentBytes(id) > 0) {
+    end = ConnectionEnd::kClosedEarly;
+  }
   if (end == ConnectionEnd::kClosed && connection->accepted &&
       UnsentBytes(id) > 0) {
     // The peer may have shut down only its sending side; if it has closed, the
--- a/src/net/transport.h
+++ b/src/net/transport.h
@@ -22,6 +22,9 @@
 enum class ConnectionEnd {
   // The peer closed its side of the connection without an error.
   kClosed,
+  // As kClosed, on a connection that this side opened, before all bytes were
+  // sent to the peer. What it has sent may be cut short.
+  kClosedEarly,
   kReset,
   // The peer has acknowledged nothing for the silence timeout.
   kSilent,
--- a/tests/unit/gateway/reset_answer_test.cc
+++ b/tests/unit/gateway/reset_answer_test.cc
@@ -1,9 +1,11 @@
 // Tests of answers without a length to uploads that are still being written,
-// over real sockets: a reset must not look like the end of the answer.
+// over real sockets: a reset or an early end must not look like the end of the
+// answer.
 
 #include <catch2/catch.hpp>
 
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 #include <functional>
 #include <optional>
@@ -27,6 +29,10 @@
   kReset,
   // By closing a socket that holds unread bytes.
   kCloseUnread,
+  // By an orderly end of its side and a reset.
+  kFinishAndReset,
+  // By an orderly end of its side; it reads no more.
+  kFinish,
 };
 
 class Outcome : public CallListener {
@@ -86,6 +92,14 @@
     case EndOfPart::kCloseUnread:
       peer->Close();
       break;
+    case EndOfPart::kFinishAndReset:
+      shutdown(peer->descriptor(), SHUT_WR);
+      peer->Reset();
+      break;
+    case EndOfPart::kFinish:
+      shutdown(peer->descriptor(), SHUT_WR);
+      peer->ReadUntil("no such bytes", milliseconds(50));
+      break;
   }
 }
 
@@ -114,7 +128,8 @@
 // Guards against a part of an answer that the caller gets as a whole one.
 TEST_CASE("a part of an answer to an unfinished upload is no answer",
           "[gateway]") {
-  auto end = GENERATE(EndOfPart::kReset, EndOfPart::kCloseUnread);
+  auto end = GENERATE(EndOfPart::kReset, EndOfPart::kCloseUnread,
+                      EndOfPart::kFinishAndReset, EndOfPart::kFinish);
   bool shared = GENERATE(true, false);
   milliseconds delay(GENERATE(0, 5, 100));
   constexpr int kPlays = 5;
@@ -134,7 +149,8 @@
 // Guards against the loss of an answer that is whole by its own length: its
 // endpoint needs no more of the upload.
 TEST_CASE("a whole answer to an unfinished upload is complete", "[gateway]") {
-  auto end = GENERATE(EndOfPart::kReset, EndOfPart::kCloseUnread);
+  auto end = GENERATE(EndOfPart::kReset, EndOfPart::kCloseUnread,
+                      EndOfPart::kFinishAndReset, EndOfPart::kFinish);
   std::string framed = GENERATE(
       as<std::string>(), "Content-Length: 18\r\n\r\n" + kPart,
       "Transfer-Encoding: chunked\r\n\r\n12\r\n" + kPart + "\r\n0\r\n\r\n");
--- a/tests/unit/support/fake_transport.cc
+++ b/tests/unit/support/fake_transport.cc
@@ -103,6 +103,11 @@
 
 void FakeTransport::End(ConnectionId connection, ConnectionEnd end) {
   if (IsOpen(connection)) {
+    bool opened_here = !At(connection).address.empty();
+    if (end == ConnectionEnd::kClosed && opened_here &&
+        UnsentBytes(connection) > 0) {
+      end = ConnectionEnd::kClosedEarly;
+    }
     At(connection).closed = true;
     At(connection).listener->OnEnd(connection, end);
   }
