Reject answers whose status does not exist, in every client

Callers got an answer with the status 0: an endpoint in trouble sent a sealed answer with the status 000, and filbertshift-gatewayd passed it on as "HTTP/1.1 0". The same with 001, 099 and 20; 0200 and 00200 were passed on as 200; 600 and 999 were passed on by both daemons.

Cause: http-parser reads any number of up to 999 as a status, with any number of digits, and libcurl any of three digits. Both clients took over what they read. Answers with a control byte in the status line, or of another major version of the protocol, came through for the same reason.

ResponseCheck holds the one rule of what the lines of an answer may be, for all readers: HttpMessageParser passes it each line of a head before http-parser sees it (endpoints, store, other instances, load, crash evidence and quarantine of the gateway); the header callbacks of libcurl do the same for the endpoint client of filbertshiftd (requests and probes), its backing services and filbertshiftctl. Peers of filbertshiftd speak HTTP/2, whose library checks both, and read no status. A request answered so may have run: it is sent again only where it may run again, otherwise its caller gets 502 with "unknown". The connection ends. The log has trouble="malformed answer: status line".

In the readers of the backing services the same state tells that a head has ended. A whole reply with trailers counted as incomplete there, since its latest line was no empty one.

--- a/src/backing_services/http_transfer.cc
+++ b/src/backing_services/http_transfer.cc
@@ -12,6 +12,14 @@
 // 1 MB from the table service and stored responses of up to 16 MB.
 constexpr std::size_t kMaxResponseBytes = std::size_t{64} * 1024 * 1024;
 
+std::string DescribeFailure(CURLcode code, const ResponseCheck& check) {
+  if (check.fault() != ResponseFault::kNone) {
+    return std::string(DescribeFault(check.fault()));
+  }
+  return code == CURLE_OK ? "the response ends within its head"
+                          : curl_easy_strerror(code);
+}
+
 }  // namespace
 
 HttpTransfer::HttpTransfer(HttpRequest request)
@@ -101,16 +109,13 @@
   return bytes;
 }
 
-// libcurl reports success for a connection that is closed within the head of a
-// response, as long as no length was read.
 size_t HttpTransfer::ReadHeadLine(char* data,
                                   size_t size,
                                   size_t count,
                                   void* self) {
   const std::string_view line(data, size * count);
-  static_cast<HttpTransfer*>(self)->head_complete_ =
-      line == "\r\n" || line == "\n";
-  return line.size();
+  return static_cast<HttpTransfer*>(self)->check_.AddLine(line) ? line.size()
+                                                                : 0;
 }
 
 HttpResult HttpTransfer::TakeResult(CURLcode code) {
@@ -118,10 +123,11 @@
   long request_bytes = 0;
   curl_easy_getinfo(handle_.get(), CURLINFO_REQUEST_SIZE, &request_bytes);
   result.sent = request_bytes > 0;
-  result.complete = code == CURLE_OK && head_complete_;
+  // libcurl reports success for a connection that is closed within the head of
+  // a response, as long as no length was read.
+  result.complete = code == CURLE_OK && check_.head_complete();
   if (!result.complete) {
-    result.detail = code == CURLE_OK ? "the response ends within its head"
-                                     : curl_easy_strerror(code);
+    result.detail = DescribeFailure(code, check_);
     return result;
   }
   long status = 0;
--- a/src/backing_services/http_transfer.h
+++ b/src/backing_services/http_transfer.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "src/backing_services/http_result.h"
+#include "src/http1/response_check.h"
 
 namespace filbertshift {
 
@@ -59,8 +60,7 @@
   static size_t ReadHeadLine(char* data, size_t size, size_t count, void* self);
 
   HttpRequest request_;
-  // Whether the latest line was the end of a head or of trailers.
-  bool head_complete_ = false;
+  ResponseCheck check_;
   std::size_t body_sent_ = 0;
   std::string response_;
   std::unique_ptr<curl_slist, DeleteList> headers_;
--- a/src/ctl/operator_client.cc
+++ b/src/ctl/operator_client.cc
@@ -6,6 +6,8 @@
 #include <stdexcept>
 #include <string_view>
 
+#include "src/http1/response_check.h"
+
 namespace filbertshift {
 
 namespace {
@@ -28,16 +30,12 @@
   return size * count;
 }
 
-// Notes whether the latest line was the end of a head. libcurl reports success
-// for a connection that is closed within the head of a response, as long as no
-// length was read.
 std::size_t ReadHeadLine(char* data,
                          std::size_t size,
                          std::size_t count,
-                         void* head_complete) {
+                         void* check) {
   const std::string_view line(data, size * count);
-  *static_cast<bool*>(head_complete) = line == "\r\n" || line == "\n";
-  return line.size();
+  return static_cast<ResponseCheck*>(check)->AddLine(line) ? line.size() : 0;
 }
 
 struct EasyDeleter {
@@ -60,6 +58,14 @@
                    static_cast<curl_off_t>(call.body.size()));
 }
 
+std::string DescribeFailure(CURLcode code, const ResponseCheck& check) {
+  if (check.fault() != ResponseFault::kNone) {
+    return std::string(DescribeFault(check.fault()));
+  }
+  return code == CURLE_OK ? "the response ends within its head"
+                          : curl_easy_strerror(code);
+}
+
 // libcurl reports a connect time of 0 if no connection was established.
 CallOutcome FailureOutcome(CURL* easy) {
   curl_off_t connected_after = 0;
@@ -97,15 +103,16 @@
   curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, kCallTimeoutMs);
   curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, AppendBody);
   curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &reply.body);
-  bool head_complete = false;
+  ResponseCheck check;
   curl_easy_setopt(easy.get(), CURLOPT_HEADERFUNCTION, ReadHeadLine);
-  curl_easy_setopt(easy.get(), CURLOPT_HEADERDATA, &head_complete);
+  curl_easy_setopt(easy.get(), CURLOPT_HEADERDATA, &check);
   SetBody(easy.get(), call);
   CURLcode code = curl_easy_perform(easy.get());
-  if (code != CURLE_OK || !head_complete) {
+  // libcurl reports success for a connection that is closed within the head of
+  // a response, as long as no length was read.
+  if (code != CURLE_OK || !check.head_complete()) {
     reply.outcome = FailureOutcome(easy.get());
-    reply.detail = code == CURLE_OK ? "the response ends within its head"
-                                    : curl_easy_strerror(code);
+    reply.detail = DescribeFailure(code, check);
     return reply;
   }
   long status = 0;
--- a/src/endpoint/endpoint_attempts.cc
+++ b/src/endpoint/endpoint_attempts.cc
@@ -41,9 +41,13 @@
   return std::chrono::microseconds(first_byte - request_start);
 }
 
-// Returns the description of this error if libcurl gave one, otherwise the
+// Returns the description of this error if there is one, otherwise libcurl's
 // general text for its code.
 std::string ErrorText(CURLcode result, const Transfer& transfer) {
+  const ResponseFault fault = transfer.reader->fault();
+  if (fault != ResponseFault::kNone) {
+    return std::string(DescribeFault(fault));
+  }
   return transfer.error.front() != '\0' ? transfer.error.data()
                                         : curl_easy_strerror(result);
 }
@@ -152,6 +156,9 @@
     return false;
   }
   const bool complete = transfer->reader->AddHeaderLine(line);
+  if (transfer->reader->fault() != ResponseFault::kNone) {
+    return false;
+  }
   if (complete && transfer->kind == TransferKind::kSend) {
     transfer->event_stream = transfer->reader->is_event_stream();
     AttemptHead head;
--- a/src/endpoint/response_reader.cc
+++ b/src/endpoint/response_reader.cc
@@ -40,7 +40,7 @@
 }
 
 bool ResponseReader::AddHeaderLine(std::string_view line) {
-  if (head_complete_) {
+  if (!check_.AddLine(line) || head_complete_) {
     return false;
   }
   constexpr std::string_view kVersionPrefix = "HTTP/";
--- a/src/endpoint/response_reader.h
+++ b/src/endpoint/response_reader.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "src/http1/response_check.h"
 #include "src/ports/caller_port.h"
 
 namespace filbertshift {
@@ -20,7 +21,7 @@
 
   // Adds one line, including its line break. Returns true if the line completes
   // the head of the final response. Interim (1xx) responses and trailers are
-  // ignored.
+  // checked, but not kept.
   bool AddHeaderLine(std::string_view line);
   // Counts bytes of the head or body. Returns false above the limit.
   bool CountBytes(std::size_t bytes);
@@ -28,6 +29,8 @@
   // limit, with the lines of its chunks.
   bool CheckReceived(std::uint64_t bytes);
 
+  // Other than kNone once a line has made the response invalid.
+  ResponseFault fault() const { return check_.fault(); }
   int http_status() const { return http_status_; }
   const std::vector<HttpHeader>& headers() const { return headers_; }
   bool head_complete() const { return head_complete_; }
@@ -42,6 +45,7 @@
 
   const std::size_t max_bytes_;
   const bool head_method_;
+  ResponseCheck check_;
   std::size_t byte_count_ = 0;
   bool too_large_ = false;
   bool head_complete_ = false;
--- a/src/endpoint/transfer.cc
+++ b/src/endpoint/transfer.cc
@@ -207,6 +207,9 @@
   if (reader.too_large()) {
     return AttemptOutcome::kTooLarge;
   }
+  if (reader.fault() != ResponseFault::kNone) {
+    return AttemptOutcome::kGarbage;
+  }
   switch (result) {
     case CURLE_OK:
       return reader.head_complete() && reader.has_framing()
--- a/src/gateway/http_client.cc
+++ b/src/gateway/http_client.cc
@@ -268,7 +268,7 @@
     std::size_t consumed = connection->parser.Feed(data);
     data.remove_prefix(std::min(consumed, data.size()));
     if (connection->parser.error() != HttpParseError::kNone) {
-      Fail(id, CallFailure::kBroken, "malformed answer");
+      Fail(id, CallFailure::kBroken, DescribeFault(connection->parser.fault()));
       return;
     }
     if (connection->parser.head_complete() && !connection->parser.interim() &&
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -8,6 +8,7 @@
 #include "src/http1/event_splitter.h"
 #include "src/http1/http_message.h"
 #include "src/http1/http_parser_adapter.h"
+#include "src/http1/response_check.h"
 #include "src/http1/stream_event.h"
 
 #endif  // SRC_HTTP1_HTTP1_H_
--- a/src/http1/http_message.cc
+++ b/src/http1/http_message.cc
@@ -15,22 +15,12 @@
     "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE",
     "Trailer",    "Upgrade",    "Expect",           "Content-Length"};
 
-std::string_view Trim(std::string_view text) {
-  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
-    text.remove_prefix(1);
-  }
-  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
-    text.remove_suffix(1);
-  }
-  return text;
-}
-
 // Calls `visit` with each trimmed element of a comma-separated value.
 template <class Visit>
 void ForEachElement(std::string_view value, Visit visit) {
   while (!value.empty()) {
     std::size_t comma = value.find(',');
-    visit(Trim(value.substr(0, comma)));
+    visit(TrimBlanks(value.substr(0, comma)));
     if (comma == std::string_view::npos) {
       return;
     }
@@ -81,6 +71,16 @@
                 fields_.end());
 }
 
+std::string_view TrimBlanks(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
 bool HasToken(std::string_view value, std::string_view token) {
   bool found = false;
   ForEachElement(value, [&found, token](std::string_view element) {
--- a/src/http1/http_message.h
+++ b/src/http1/http_message.h
@@ -45,6 +45,9 @@
   HttpHeaders headers;
 };
 
+// Removes blanks and tabs at both ends.
+std::string_view TrimBlanks(std::string_view text);
+
 // True if a comma-separated field value contains `token`, compared
 // case-insensitively.
 bool HasToken(std::string_view value, std::string_view token);
--- a/src/http1/http_parser_adapter.cc
+++ b/src/http1/http_parser_adapter.cc
@@ -1,35 +1,10 @@
 #include "src/http1/http_parser_adapter.h"
 
 #include <algorithm>
-#include <cctype>
 #include <utility>
 
 namespace filbertshift {
 
-namespace {
-
-// A lenient receiver could take a control character in a field value as the end
-// of the line.
-bool HasControlCharacter(std::string_view text) {
-  return std::any_of(text.begin(), text.end(), [](char c) {
-    auto byte = static_cast<unsigned char>(c);
-    return (byte < 0x20 && byte != '\t') || byte == 0x7f;
-  });
-}
-
-// http-parser accepts field names with spaces, which other receivers read as
-// different names.
-constexpr std::string_view kFieldNameSymbols = "!#$%&'*+-.^_`|~";
-
-bool IsFieldName(std::string_view name) {
-  return !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
-    return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
-           kFieldNameSymbols.find(c) != std::string_view::npos;
-  });
-}
-
-}  // namespace
-
 HttpMessageParser::HttpMessageParser(Kind kind, HttpParseLimits limits)
     : kind_(kind), limits_(limits), parser_() {
   Reset();
@@ -42,6 +17,9 @@
   request_ = HttpRequestHead();
   response_ = HttpResponseHead();
   body_.clear();
+  check_ = ResponseCheck();
+  reads_lines_ = kind_ == Kind::kResponse;
+  line_ = std::string();
   head_bytes_ = 0;
   announced_bytes_ = 0;
   body_bytes_ = 0;
@@ -55,17 +33,50 @@
 }
 
 std::size_t HttpMessageParser::Feed(std::string_view data) {
-  if (complete_ || error_ != HttpParseError::kNone || data.empty()) {
-    return 0;
+  std::size_t used = 0;
+  while (used < data.size() && !complete_ && error_ == HttpParseError::kNone) {
+    started_ = true;
+    std::string_view rest = data.substr(used);
+    used += reads_lines_ ? FeedLine(rest) : Execute(rest);
   }
-  started_ = true;
+  return used;
+}
+
+std::size_t HttpMessageParser::FeedLine(std::string_view data) {
+  std::size_t end = data.find('\n');
+  bool whole = end != std::string_view::npos;
+  std::string_view line = data.substr(0, whole ? end + 1 : data.size());
+  std::size_t used = line.size();
+  if (head_bytes_ + line_.size() + used > limits_.max_head_bytes) {
+    error_ = HttpParseError::kHeadTooLarge;
+    return used;
+  }
+  if (!whole || !line_.empty()) {
+    line_.append(line);
+    line = line_;
+  }
+  if (!whole) {
+    return used;
+  }
+  if (check_.AddLine(line)) {
+    Execute(line);
+  } else {
+    error_ = HttpParseError::kMalformed;
+  }
+  line_.clear();
+  return used;
+}
+
+std::size_t HttpMessageParser::Execute(std::string_view data) {
   std::size_t used =
       http_parser_execute(&parser_, &Callbacks(), data.data(), data.size());
   http_errno code = HTTP_PARSER_ERRNO(&parser_);
   if (complete_) {
     return std::min(used, data.size());
   }
-  if (code != HPE_OK && error_ == HttpParseError::kNone) {
+  if (code == HPE_PAUSED) {
+    http_parser_pause(&parser_, 0);
+  } else if (code != HPE_OK && error_ == HttpParseError::kNone) {
     error_ = code == HPE_HEADER_OVERFLOW ? HttpParseError::kHeadTooLarge
                                          : HttpParseError::kMalformed;
   }
@@ -91,7 +102,8 @@
 std::size_t HttpMessageParser::head_memory() const {
   const HttpHeaders& fields =
       kind_ == Kind::kRequest ? request_.headers : response_.headers;
-  return head_bytes_ + fields.fields().capacity() * sizeof(HeaderField);
+  return head_bytes_ + line_.capacity() +
+         fields.fields().capacity() * sizeof(HeaderField);
 }
 
 HttpHeaders& HttpMessageParser::headers() {
@@ -111,6 +123,18 @@
   return true;
 }
 
+// The library accepts field names with spaces, which other receivers read as
+// different names.
+bool HttpMessageParser::CheckFields() const {
+  const std::vector<HeaderField>& fields = kind_ == Kind::kRequest
+                                               ? request_.headers.fields()
+                                               : response_.headers.fields();
+  return std::all_of(
+      fields.begin(), fields.end(), [](const HeaderField& field) {
+        return IsFieldName(field.name) && !HasControlCharacter(field.value);
+      });
+}
+
 // Rejects framing that receivers interpret differently, because it allows
 // request smuggling: a second request hidden in a body.
 bool HttpMessageParser::CheckRequestFraming() const {
@@ -184,9 +208,9 @@
            (field.value.back() == ' ' || field.value.back() == '\t')) {
       field.value.pop_back();
     }
-    if (!IsFieldName(field.name) || HasControlCharacter(field.value)) {
-      return -1;
-    }
+  }
+  if (!self->CheckFields()) {
+    return -1;
   }
   if (self->kind_ == Kind::kRequest) {
     self->request_.method =
@@ -205,6 +229,7 @@
                        parser->status_code == 304 || self->interim();
   self->keep_alive_ = http_should_keep_alive(parser) != 0;
   self->head_complete_ = true;
+  self->reads_lines_ = false;
   self->announced_bytes_ = static_cast<std::size_t>(parser->content_length);
   bool too_large = (parser->flags & F_CONTENTLENGTH) != 0 &&
                    parser->content_length > self->limits_.max_body_bytes;
@@ -215,6 +240,16 @@
   return 0;
 }
 
+int HttpMessageParser::OnChunkHead(http_parser* parser) {
+  HttpMessageParser* self = Self(parser);
+  if (self->kind_ == Kind::kResponse && parser->content_length == 0) {
+    self->reads_lines_ = true;
+    // Leaves the trailers to FeedLine.
+    http_parser_pause(parser, 1);
+  }
+  return 0;
+}
+
 int HttpMessageParser::OnBody(http_parser* parser,
                               const char* data,
                               std::size_t size) {
@@ -243,6 +278,7 @@
     settings.on_header_field = &OnField;
     settings.on_header_value = &OnValue;
     settings.on_headers_complete = &OnHeadComplete;
+    settings.on_chunk_header = &OnChunkHead;
     settings.on_body = &OnBody;
     settings.on_message_complete = &OnComplete;
     return settings;
--- a/src/http1/http_parser_adapter.h
+++ b/src/http1/http_parser_adapter.h
@@ -1,5 +1,6 @@
 // Incremental HTTP/1.1 parser on top of the http-parser library. It parses one
-// message at a time and leaves the bytes after a message to its user.
+// message at a time and leaves the bytes after a message to its user. The lines
+// of a response reach the library only after ResponseCheck has accepted them.
 
 #ifndef SRC_HTTP1_HTTP_PARSER_ADAPTER_H_
 #define SRC_HTTP1_HTTP_PARSER_ADAPTER_H_
@@ -11,6 +12,7 @@
 #include <string_view>
 
 #include "src/http1/http_message.h"
+#include "src/http1/response_check.h"
 
 namespace filbertshift {
 
@@ -49,6 +51,8 @@
   bool head_complete() const { return head_complete_; }
   bool complete() const { return complete_; }
   HttpParseError error() const { return error_; }
+  // Why a malformed response is not valid; kNone if the library found it.
+  ResponseFault fault() const { return check_.fault(); }
   // False if the body ends when the connection closes. Valid once the head is
   // complete.
   bool has_framing() const { return has_framing_; }
@@ -79,12 +83,19 @@
   static int OnField(http_parser* parser, const char* data, std::size_t size);
   static int OnValue(http_parser* parser, const char* data, std::size_t size);
   static int OnHeadComplete(http_parser* parser);
+  static int OnChunkHead(http_parser* parser);
   static int OnBody(http_parser* parser, const char* data, std::size_t size);
   static int OnComplete(http_parser* parser);
   static const http_parser_settings& Callbacks();
   static HttpMessageParser* Self(http_parser* parser);
 
+  // Passes bytes on to the library. Returns how many of them it used.
+  std::size_t Execute(std::string_view data);
+  // Passes the next line on if it is complete and valid, otherwise keeps it.
+  // Returns the number of bytes up to the end of the line.
+  std::size_t FeedLine(std::string_view data);
   bool AddHeadBytes(std::size_t size);
+  bool CheckFields() const;
   bool CheckRequestFraming() const;
   HttpHeaders& headers();
 
@@ -94,6 +105,11 @@
   HttpRequestHead request_;
   HttpResponseHead response_;
   std::string body_;
+  ResponseCheck check_;
+  // In a response: the next bytes belong to its head or trailers.
+  bool reads_lines_ = false;
+  // Start of the current line, of which the library has no byte yet.
+  std::string line_;
   std::size_t head_bytes_ = 0;
   // Valid if the message has a Content-Length.
   std::size_t announced_bytes_ = 0;
--- /dev/null
+++ b/src/http1/response_check.cc
@@ -0,0 +1,96 @@
+#include "src/http1/response_check.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace filbertshift {
+
+namespace {
+
+constexpr std::string_view kVersion = "HTTP/1.";
+// "HTTP/1.x " before the status.
+constexpr std::size_t kStatusStart = kVersion.size() + 2;
+constexpr std::size_t kStatusDigits = 3;
+// What the name of a field may hold besides letters and digits.
+constexpr std::string_view kNameSymbols = "!#$%&'*+-.^_`|~";
+
+bool IsDigit(char c) {
+  return c >= '0' && c <= '9';
+}
+
+bool AreDigits(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), IsDigit);
+}
+
+std::string_view WithoutLineBreak(std::string_view line) {
+  if (!line.empty() && line.back() == '\n') {
+    line.remove_suffix(1);
+    if (!line.empty() && line.back() == '\r') {
+      line.remove_suffix(1);
+    }
+  }
+  return line;
+}
+
+}  // namespace
+
+std::string_view DescribeFault(ResponseFault fault) {
+  switch (fault) {
+    case ResponseFault::kNone:
+      return "malformed answer";
+    case ResponseFault::kStatusLine:
+      return "malformed answer: status line";
+  }
+  return "malformed answer";
+}
+
+bool IsFieldName(std::string_view name) {
+  return !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || IsDigit(c) ||
+           kNameSymbols.find(c) != std::string_view::npos;
+  });
+}
+
+bool HasControlCharacter(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](char c) {
+    auto byte = static_cast<unsigned char>(c);
+    return (byte < 0x20 && byte != '\t') || byte == 0x7f;
+  });
+}
+
+bool ResponseCheck::AddLine(std::string_view line) {
+  if (fault_ != ResponseFault::kNone) {
+    return false;
+  }
+  std::string_view text = WithoutLineBreak(line);
+  if (part_ == Part::kStatusLine) {
+    // Some servers send an empty line after a body; it belongs to no response.
+    if (!text.empty()) {
+      fault_ = CheckStatusLine(text);
+      part_ = Part::kFields;
+    }
+  } else if (text.empty() && part_ == Part::kFields) {
+    part_ = interim_ ? Part::kStatusLine : Part::kTrailers;
+  }
+  return fault_ == ResponseFault::kNone;
+}
+
+ResponseFault ResponseCheck::CheckStatusLine(std::string_view text) {
+  if (text.size() < kStatusStart + kStatusDigits ||
+      text.substr(0, kVersion.size()) != kVersion ||
+      !IsDigit(text[kVersion.size()]) || text[kStatusStart - 1] != ' ') {
+    return ResponseFault::kStatusLine;
+  }
+  std::string_view status = text.substr(kStatusStart, kStatusDigits);
+  std::string_view rest = text.substr(kStatusStart + kStatusDigits);
+  bool exists =
+      AreDigits(status) && status.front() >= '1' && status.front() <= '5';
+  if (!exists || (!rest.empty() && rest.front() != ' ') ||
+      HasControlCharacter(rest)) {
+    return ResponseFault::kStatusLine;
+  }
+  interim_ = status.front() == '1';
+  return ResponseFault::kNone;
+}
+
+}  // namespace filbertshift
--- /dev/null
+++ b/src/http1/response_check.h
@@ -0,0 +1,54 @@
+// Decides whether the lines of a response are those of a valid HTTP/1.1
+// response (RFC 9112). The parsers in use, http-parser and libcurl, accept
+// more: a status that does not exist, or lines that other receivers read as
+// other fields. All clients pass each line through this check before they use
+// it.
+
+#ifndef SRC_HTTP1_RESPONSE_CHECK_H_
+#define SRC_HTTP1_RESPONSE_CHECK_H_
+
+#include <string_view>
+
+namespace filbertshift {
+
+// The first part of a response that is not valid.
+enum class ResponseFault {
+  kNone,
+  // Not "HTTP/1.x" and three digits from 100 to 599.
+  kStatusLine,
+};
+
+// For logs. kNone stands for a fault that another parser has found.
+std::string_view DescribeFault(ResponseFault fault);
+
+// Whether the name of a field is a token (RFC 9110 section 5.6.2).
+bool IsFieldName(std::string_view name);
+// A lenient receiver could take a control character in a field value as the end
+// of the line.
+bool HasControlCharacter(std::string_view text);
+
+// Checks one response: the interim heads, the final head and the trailers.
+class ResponseCheck {
+ public:
+  // Adds the next line, with its line break. Returns false if the response is
+  // not valid up to here; it then stays so.
+  bool AddLine(std::string_view line);
+  ResponseFault fault() const { return fault_; }
+  // Whether the final head has ended.
+  bool head_complete() const { return part_ == Part::kTrailers; }
+
+ private:
+  enum class Part { kStatusLine, kFields, kTrailers };
+
+  // Each returns the fault of the line; `text` has no line break.
+  ResponseFault CheckStatusLine(std::string_view text);
+
+  Part part_ = Part::kStatusLine;
+  ResponseFault fault_ = ResponseFault::kNone;
+  // Of the current head.
+  bool interim_ = false;
+};
+
+}  // namespace filbertshift
+
+#endif  // SRC_HTTP1_RESPONSE_CHECK_H_
--- a/tests/unit/backing_services/cut_reply_test.cc
+++ b/tests/unit/backing_services/cut_reply_test.cc
@@ -1,5 +1,6 @@
-// Tests of replies of the backing services that end within their head: an
-// acknowledgement that is cut there must not count.
+// Tests of replies of the backing services and of instances that are none: they
+// end within their head, or before their request is sent, or have a broken
+// head. Such an acknowledgement must not count.
 
 #include <catch2/catch.hpp>
 
@@ -7,9 +8,11 @@
 
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "src/backing_services/http_transfer.h"
 #include "src/ctl/operator_client.h"
+#include "tests/unit/support/broken_lines.h"
 #include "tests/unit/support/loopback.h"
 
 namespace filbertshift {
@@ -17,20 +20,31 @@
 
 using std::chrono::milliseconds;
 
+constexpr milliseconds kEarlyResetDelay{5};
+
 const std::string kReplies[] = {
     "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\n",
     "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
     "Transfer-Encoding: chunked\r\n\r\n",
     "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"};
 
-// Accepts one connection, reads the request, sends `reply` and closes.
+// Accepts one connection, reads the request, sends `reply` and closes. An early
+// reply is sent after the head of the request, and the connection is reset.
 class OneReply {
  public:
-  explicit OneReply(const std::string& reply)
-      : socket_(ListenOnLoopback()), thread_([this, reply] {
+  explicit OneReply(const std::string& reply, bool early = false)
+      : socket_(ListenOnLoopback()), thread_([this, reply, early] {
           TestSocket peer = AcceptFrom(socket_, milliseconds(2000));
-          peer.ReadMessage();
+          if (early) {
+            peer.ReadUntil("\r\n\r\n");
+          } else {
+            peer.ReadMessage();
+          }
           peer.Write(reply);
+          if (early) {
+            std::this_thread::sleep_for(kEarlyResetDelay);
+            peer.Reset();
+          }
         }) {}
   ~OneReply() { thread_.join(); }
   std::string address() const {
@@ -42,18 +56,21 @@
   std::thread thread_;
 };
 
+HttpResult GetFrom(const OneReply& server) {
+  HttpRequest request;
+  request.method = "GET";
+  request.url = "http://" + server.address() + "/";
+  request.timeout = milliseconds(2000);
+  HttpTransfer transfer(request);
+  return transfer.TakeResult(curl_easy_perform(transfer.handle()));
+}
+
 TEST_CASE("a reply cut within its head is no reply", "[backing_services]") {
   for (const std::string& reply : kReplies) {
     for (std::size_t bytes = 1; bytes < reply.size(); ++bytes) {
       INFO(reply.substr(0, bytes));
       OneReply server(reply.substr(0, bytes));
-      HttpRequest request;
-      request.method = "GET";
-      request.url = "http://" + server.address() + "/";
-      request.timeout = milliseconds(2000);
-      HttpTransfer transfer(request);
-      CURLcode code = curl_easy_perform(transfer.handle());
-      CHECK_FALSE(transfer.TakeResult(code).complete);
+      CHECK_FALSE(GetFrom(server).complete);
     }
   }
 }
@@ -75,14 +92,79 @@
 
 TEST_CASE("a whole reply is complete", "[backing_services]") {
   OneReply server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  HttpResult result = GetFrom(server);
+  CHECK(result.complete);
+  CHECK(result.body == "ok");
+}
+
+TEST_CASE("a reply with sound trailers is complete", "[backing_services]") {
+  OneReply server(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n");
+  HttpResult result = GetFrom(server);
+  CHECK(result.complete);
+  CHECK(result.body == "ok");
+}
+
+std::vector<std::string> BrokenReplies() {
+  std::vector<std::string> replies;
+  for (const std::string& line : BrokenStatusLines()) {
+    replies.push_back(line + "\r\nContent-Length: 2\r\n\r\nok");
+    replies.push_back(line + "\r\n\r\nok");
+  }
+  return replies;
+}
+
+TEST_CASE("a reply with a broken status is no reply", "[backing_services]") {
+  for (const std::string& reply : BrokenReplies()) {
+    INFO(reply);
+    OneReply server(reply);
+    CHECK_FALSE(GetFrom(server).complete);
+  }
+}
+
+TEST_CASE("a reply to an operator with a broken status is no reply", "[ctl]") {
+  CurlOperatorClient client;
+  for (const std::string& reply : BrokenReplies()) {
+    INFO(reply);
+    OneReply server(reply);
+    CallSpec call;
+    call.address = server.address();
+    call.target = "/";
+    CHECK(client.Call(call).outcome != CallOutcome::kReplied);
+  }
+}
+
+constexpr std::size_t kUploadBytes = std::size_t{32} * 1024 * 1024;
+const std::string kPartOfReply = "HTTP/1.1 200 OK\r\n\r\na part";
+
+// Guards against an acknowledgement of what has not been read: the reply has no
+// length, and its connection is reset in the middle of the upload.
+TEST_CASE("a part of a reply to an upload is no reply", "[backing_services]") {
+  std::string method = GENERATE("PUT", "POST");
+  bool resend = GENERATE(true, false);
+  CAPTURE(method, resend);
+  OneReply server(kPartOfReply, true);
   HttpRequest request;
-  request.method = "GET";
+  request.method = method;
   request.url = "http://" + server.address() + "/";
+  request.body = std::string(kUploadBytes, 'u');
+  request.resend = resend;
   request.timeout = milliseconds(2000);
   HttpTransfer transfer(request);
-  HttpResult result = transfer.TakeResult(curl_easy_perform(transfer.handle()));
-  CHECK(result.complete);
-  CHECK(result.body == "ok");
+  CURLcode code = curl_easy_perform(transfer.handle());
+  CHECK_FALSE(transfer.TakeResult(code).complete);
+}
+
+TEST_CASE("a part of a reply to an operator's upload is no reply", "[ctl]") {
+  CurlOperatorClient client;
+  OneReply server(kPartOfReply, true);
+  CallSpec call;
+  call.method = "PUT";
+  call.address = server.address();
+  call.target = "/";
+  call.body = std::string(kUploadBytes, 'u');
+  CHECK(client.Call(call).outcome == CallOutcome::kNoReply);
 }
 
 }  // namespace
--- a/tests/unit/endpoint/endpoint_test.cc
+++ b/tests/unit/endpoint/endpoint_test.cc
@@ -9,6 +9,7 @@
 
 #include "src/endpoint/endpoint.h"
 #include "tests/unit/endpoint/fake_endpoint.h"
+#include "tests/unit/support/broken_lines.h"
 #include "tests/unit/support/core_inbox.h"
 #include "tests/unit/support/test_seed.h"
 
@@ -34,7 +35,8 @@
 
   void Start(const std::string& name,
              const FakeEndpoint& endpoint,
-             Incarnation incarnation = kFirstIncarnation) {
+             Incarnation incarnation = kFirstIncarnation,
+             std::size_t more_body_bytes = 0) {
     AttemptSpec spec;
     spec.attempt = AttemptId(name);
     spec.endpoint = TestedEndpoint();
@@ -44,6 +46,7 @@
     spec.headers = {{"Content-Type", "application/json"},
                     {"X-Request-Id", name}};
     spec.body = "{\"n\":\"" + name + "\"}";
+    spec.body.append(more_body_bytes, ' ');
     spec.incarnation = incarnation;
     spec.connect_timeout = milliseconds(2000);
     spec.max_response_bytes = kMaxResponseBytes;
@@ -362,6 +365,65 @@
   CHECK(endpoint.requests().size() == 1);
 }
 
+std::vector<std::string> BrokenHeads() {
+  std::vector<std::string> heads;
+  for (const std::string& line : BrokenStatusLines()) {
+    heads.push_back(line + "\r\n");
+    heads.push_back("HTTP/1.1 100 Continue\r\n\r\n" + line + "\r\n");
+  }
+  return heads;
+}
+
+// Guards against a head that is passed on though it is none, and against a
+// connection that is used again after it.
+TEST_CASE("endpoint client passes on no broken head", "[endpoint]") {
+  for (const std::string& head : BrokenHeads()) {
+    for (const char* framing : {"Content-Length: 2\r\n\r\n{}",
+                                "Transfer-Encoding: chunked\r\n\r\n"
+                                "2\r\n{}\r\n0\r\n\r\n"}) {
+      CAPTURE(head, framing);
+      FakeEndpoint endpoint(kFirstIncarnation,
+                            RespondWith(head + framing, true));
+      Client client;
+      for (const char* name : {"a1", "a2"}) {
+        client.Start(name, endpoint);
+        const AttemptEnd end = client.TakeEnd();
+        INFO(end.detail);
+        CHECK(end.outcome != AttemptOutcome::kComplete);
+        CHECK(end.outcome != AttemptOutcome::kNotSent);
+        CHECK_FALSE(client.inbox.Take<AttemptHead>(milliseconds(0)));
+        CHECK(client.TakeBody().empty());
+      }
+      const auto requests = endpoint.requests();
+      REQUIRE(requests.size() == 2);
+      CHECK(requests[0].connection != requests[1].connection);
+    }
+  }
+}
+
+// Guards against a part of an answer that is reported as a whole one.
+TEST_CASE("endpoint client completes no part of an answer to an upload",
+          "[endpoint]") {
+  constexpr std::size_t kUploadBytes = std::size_t{32} * 1024 * 1024;
+  const bool reset = GENERATE(true, false);
+  const milliseconds delay(GENERATE(0, 5, 100));
+  CAPTURE(reset, delay.count());
+  FakeEndpoint endpoint(
+      kFirstIncarnation,
+      [reset, delay](const TestSocket& socket, const std::string&) {
+        socket.Write("HTTP/1.1 200 OK\r\n\r\na part of the body");
+        std::this_thread::sleep_for(delay);
+        if (reset) {
+          socket.Disconnect();
+        }
+        return false;
+      });
+  endpoint.RespondBeforeBody();
+  Client client;
+  client.Start("a1", endpoint, kFirstIncarnation, kUploadBytes);
+  CHECK(client.TakeEnd().outcome == AttemptOutcome::kBroken);
+}
+
 // Guards against surplus bytes after one response that are treated as the next
 // response on the same connection.
 TEST_CASE("endpoint client drops a connection with unexpected bytes",
--- a/tests/unit/endpoint/fake_endpoint.cc
+++ b/tests/unit/endpoint/fake_endpoint.cc
@@ -101,7 +101,9 @@
   bool probed = false;
   bool open = true;
   while (open) {
-    const std::string request = socket.ReadMessage();
+    const std::string request = respond_before_body_
+                                    ? socket.ReadUntil("\r\n\r\n")
+                                    : socket.ReadMessage();
     if (request.empty()) {
       break;
     }
--- a/tests/unit/endpoint/fake_endpoint.h
+++ b/tests/unit/endpoint/fake_endpoint.h
@@ -46,6 +46,8 @@
   // Returns all requests received so far except probes.
   std::vector<RecordedRequest> requests() const;
   int probes() const { return probes_; }
+  // From now on the handler runs once the head of a request has arrived.
+  void RespondBeforeBody() { respond_before_body_ = true; }
   // Replaces the whole response to probes; an empty one restores the default.
   void SetProbeReply(std::string reply);
 
@@ -57,6 +59,7 @@
   const Handler handler_;
   std::atomic<std::int64_t> start_ms_;
   std::atomic<bool> stopping_{false};
+  std::atomic<bool> respond_before_body_{false};
   std::atomic<int> probes_{0};
   int port_ = 0;
   TestSocket listener_;
--- a/tests/unit/support/loopback.cc
+++ b/tests/unit/support/loopback.cc
@@ -71,6 +71,12 @@
   Close();
 }
 
+void TestSocket::Disconnect() const {
+  sockaddr none{};
+  none.sa_family = AF_UNSPEC;
+  connect(descriptor_, &none, sizeof(none));
+}
+
 bool TestSocket::Write(std::string_view bytes) const {
   while (!bytes.empty()) {
     const ssize_t sent =
--- a/tests/unit/support/loopback.h
+++ b/tests/unit/support/loopback.h
@@ -24,6 +24,8 @@
   void Close();
   // Makes the close send a TCP reset (RST) instead of a FIN.
   void Reset();
+  // Sends a TCP reset at once and keeps the descriptor open.
+  void Disconnect() const;
   // Returns false if the peer has closed the connection.
   bool Write(std::string_view bytes) const;
   // Reads once. Returns an empty string at the end of the stream, on an error
