Reject answers with a line that is no field, in every client

Callers got an answer in whose head the name of a field held a blank or a control byte, or a body that was not the endpoint's.

Cause: both parsers accept more than HTTP. libcurl passes each line on as it is, so the endpoint client of filbertshiftd took over every name with a blank or a control byte, and "Content-Length : 4" as a field of its own. http-parser is built without its strict checks in Debian: it takes a line that begins with CR for the end of the head, so that the rest of the head became the start of the body (with the seal of the endpoint); it joins a line that begins with a blank to the one before, so that a name with a blank in front became a part of another value; and the names of trailers were not looked at.

ResponseCheck now rejects a line that is not a token, a colon and a value without control characters, in interim heads, the final head and the trailers. A continued line is rejected too: RFC 9112 section 5.2 lets a gateway reject it with 502 or replace the line break by blanks; of an endpoint in trouble it is as likely a name with a blank in front, which may be that of a length. Requests are read as before.

In filbertshiftd a line that begins with a zero byte never reaches the check: libcurl drops what follows and waits. The answer is not passed on; the attempt ends with its connection or by the detector.

--- a/src/http1/http_parser_adapter.cc
+++ b/src/http1/http_parser_adapter.cc
@@ -125,10 +125,8 @@
 
 // The library accepts field names with spaces, which other receivers read as
 // different names.
-bool HttpMessageParser::CheckFields() const {
-  const std::vector<HeaderField>& fields = kind_ == Kind::kRequest
-                                               ? request_.headers.fields()
-                                               : response_.headers.fields();
+bool HttpMessageParser::CheckRequestFields() const {
+  const std::vector<HeaderField>& fields = request_.headers.fields();
   return std::all_of(
       fields.begin(), fields.end(), [](const HeaderField& field) {
         return IsFieldName(field.name) && !HasControlCharacter(field.value);
@@ -209,13 +207,11 @@
       field.value.pop_back();
     }
   }
-  if (!self->CheckFields()) {
-    return -1;
-  }
   if (self->kind_ == Kind::kRequest) {
     self->request_.method =
         http_method_str(static_cast<http_method>(parser->method));
-    if (parser->method == HTTP_CONNECT || !self->CheckRequestFraming()) {
+    if (parser->method == HTTP_CONNECT || !self->CheckRequestFields() ||
+        !self->CheckRequestFraming()) {
       return -1;
     }
   } else {
--- a/src/http1/http_parser_adapter.h
+++ b/src/http1/http_parser_adapter.h
@@ -95,7 +95,7 @@
   // Returns the number of bytes up to the end of the line.
   std::size_t FeedLine(std::string_view data);
   bool AddHeadBytes(std::size_t size);
-  bool CheckFields() const;
+  bool CheckRequestFields() const;
   bool CheckRequestFraming() const;
   HttpHeaders& headers();
 
--- a/src/http1/response_check.cc
+++ b/src/http1/response_check.cc
@@ -40,6 +40,10 @@
       return "malformed answer";
     case ResponseFault::kStatusLine:
       return "malformed answer: status line";
+    case ResponseFault::kFieldName:
+      return "malformed answer: field name";
+    case ResponseFault::kFieldValue:
+      return "malformed answer: field value";
   }
   return "malformed answer";
 }
@@ -69,7 +73,9 @@
       fault_ = CheckStatusLine(text);
       part_ = Part::kFields;
     }
-  } else if (text.empty() && part_ == Part::kFields) {
+  } else if (!text.empty()) {
+    fault_ = CheckField(text);
+  } else if (part_ == Part::kFields) {
     part_ = interim_ ? Part::kStatusLine : Part::kTrailers;
   }
   return fault_ == ResponseFault::kNone;
@@ -93,4 +99,14 @@
   return ResponseFault::kNone;
 }
 
+ResponseFault ResponseCheck::CheckField(std::string_view text) {
+  std::size_t colon = text.find(':');
+  if (colon == std::string_view::npos || !IsFieldName(text.substr(0, colon))) {
+    return ResponseFault::kFieldName;
+  }
+  return HasControlCharacter(text.substr(colon + 1))
+             ? ResponseFault::kFieldValue
+             : ResponseFault::kNone;
+}
+
 }  // namespace filbertshift
--- a/src/http1/response_check.h
+++ b/src/http1/response_check.h
@@ -16,6 +16,11 @@
   kNone,
   // Not "HTTP/1.x" and three digits from 100 to 599.
   kStatusLine,
+  // Not a token and a colon. Includes a line that continues the one before it,
+  // which RFC 9112 section 5.2 allows to reject.
+  kFieldName,
+  // A control character in a value.
+  kFieldValue,
 };
 
 // For logs. kNone stands for a fault that another parser has found.
@@ -42,6 +47,7 @@
 
   // Each returns the fault of the line; `text` has no line break.
   ResponseFault CheckStatusLine(std::string_view text);
+  static ResponseFault CheckField(std::string_view text);
 
   Part part_ = Part::kStatusLine;
   ResponseFault fault_ = ResponseFault::kNone;
--- a/tests/unit/backing_services/cut_reply_test.cc
+++ b/tests/unit/backing_services/cut_reply_test.cc
@@ -112,10 +112,20 @@
     replies.push_back(line + "\r\nContent-Length: 2\r\n\r\nok");
     replies.push_back(line + "\r\n\r\nok");
   }
+  for (const std::string& line : BrokenFieldLines()) {
+    replies.push_back("HTTP/1.1 200 OK\r\n" + line +
+                      "\r\nContent-Length: 2\r\n\r\nok");
+    replies.push_back("HTTP/1.1 200 OK\r\nX-A: 1\r\n" + line + "\r\n\r\nok");
+    replies.push_back(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "2\r\nok\r\n0\r\n" +
+        line + "\r\n\r\n");
+  }
   return replies;
 }
 
-TEST_CASE("a reply with a broken status is no reply", "[backing_services]") {
+TEST_CASE("a reply with a broken head or trailers is no reply",
+          "[backing_services]") {
   for (const std::string& reply : BrokenReplies()) {
     INFO(reply);
     OneReply server(reply);
@@ -123,7 +133,8 @@
   }
 }
 
-TEST_CASE("a reply to an operator with a broken status is no reply", "[ctl]") {
+TEST_CASE("a reply to an operator with a broken head or trailers is no reply",
+          "[ctl]") {
   CurlOperatorClient client;
   for (const std::string& reply : BrokenReplies()) {
     INFO(reply);
--- a/tests/unit/endpoint/endpoint_test.cc
+++ b/tests/unit/endpoint/endpoint_test.cc
@@ -371,6 +371,12 @@
     heads.push_back(line + "\r\n");
     heads.push_back("HTTP/1.1 100 Continue\r\n\r\n" + line + "\r\n");
   }
+  for (const std::string& line : BrokenFieldLines()) {
+    heads.push_back("HTTP/1.1 200 OK\r\n" + line + "\r\n");
+    heads.push_back("HTTP/1.1 200 OK\r\nX-A: 1\r\n" + line + "\r\nX-B: 2\r\n");
+    heads.push_back("HTTP/1.1 103 Early Hints\r\n" + line +
+                    "\r\n\r\nHTTP/1.1 200 OK\r\n");
+  }
   return heads;
 }
 
@@ -378,12 +384,16 @@
 // connection that is used again after it.
 TEST_CASE("endpoint client passes on no broken head", "[endpoint]") {
   for (const std::string& head : BrokenHeads()) {
+    // libcurl skips what follows a line that begins with a zero byte, and waits
+    // for the connection to end.
+    const bool keep_open =
+        head.find(std::string("\n\0", 2)) == std::string::npos;
     for (const char* framing : {"Content-Length: 2\r\n\r\n{}",
                                 "Transfer-Encoding: chunked\r\n\r\n"
                                 "2\r\n{}\r\n0\r\n\r\n"}) {
       CAPTURE(head, framing);
       FakeEndpoint endpoint(kFirstIncarnation,
-                            RespondWith(head + framing, true));
+                            RespondWith(head + framing, keep_open));
       Client client;
       for (const char* name : {"a1", "a2"}) {
         client.Start(name, endpoint);
@@ -401,6 +411,42 @@
   }
 }
 
+TEST_CASE("endpoint client completes no response with broken trailers",
+          "[endpoint]") {
+  for (const std::string& line : BrokenFieldLines()) {
+    INFO(line);
+    FakeEndpoint endpoint(
+        kFirstIncarnation,
+        RespondWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "2\r\n{}\r\n0\r\n" +
+                        line + "\r\n\r\n",
+                    true));
+    Client client;
+    client.Start("a1", endpoint);
+    CHECK(client.TakeEnd().outcome != AttemptOutcome::kComplete);
+  }
+}
+
+// Guards against an instance that takes an endpoint for a sound one by a probe
+// that was answered with a broken head.
+TEST_CASE("endpoint client believes no probe with a broken head",
+          "[endpoint]") {
+  for (const char* head :
+       {"HTTP/1.1 200 OK\r\nX Y: v\r\n", "HTTP/1.1 200 OK\r\nX : v\r\n",
+        "HTTP/1.1 103 X\r\n: v\r\n\r\nHTTP/1.1 200 OK\r\n"}) {
+    INFO(head);
+    FakeEndpoint endpoint(kFirstIncarnation, RespondWith(kOkResponse, true));
+    endpoint.SetProbeReply(std::string(head) + "Content-Length: 37\r\n\r\n" +
+                           "process_start_time_seconds 1780000000");
+    Client client;
+    client.client.Probe(TestedEndpoint(), endpoint.address(),
+                        milliseconds(1000));
+    auto result = client.inbox.Take<ProbeResult>();
+    REQUIRE(result);
+    CHECK_FALSE(result->reachable);
+  }
+}
+
 // Guards against a part of an answer that is reported as a whole one.
 TEST_CASE("endpoint client completes no part of an answer to an upload",
           "[endpoint]") {
--- a/tests/unit/gateway/broken_answer_test.cc
+++ b/tests/unit/gateway/broken_answer_test.cc
@@ -1,5 +1,6 @@
 // Tests of endpoints, stores and instances in trouble whose answers are no
-// HTTP: their status does not exist. None may look like an answer.
+// HTTP: a status that does not exist, or a line of the head or of the trailers
+// that is no field. None may look like an answer.
 
 #include <catch2/catch.hpp>
 
@@ -18,6 +19,36 @@
   return text.find(part) != std::string::npos;
 }
 
+// Marks the place of a broken line in an answer.
+constexpr char kLineMark[] = "X-Mark: here\r\n";
+
+std::string Place(std::string answer, const std::string& line) {
+  return answer.replace(answer.find(kLineMark), sizeof(kLineMark) - 1,
+                        line + "\r\n");
+}
+
+const std::string kStart =
+    "HTTP/1.1 200 OK\r\nFilbertshift-Attempt-Id: r1\r\n"
+    "Filbertshift-Response-Seal: s\r\n";
+
+// Answers that are whole without the marked line.
+const std::vector<std::string>& MarkedAnswers() {
+  static const std::vector<std::string> kAnswers = {
+      "HTTP/1.1 200 OK\r\n" + std::string(kLineMark) +
+          "Filbertshift-Attempt-Id: r1\r\nFilbertshift-Response-Seal: s\r\n"
+          "Content-Length: 4\r\n\r\nbody",
+      kStart + kLineMark + "Content-Length: 4\r\n\r\nbody",
+      kStart + "Content-Length: 4\r\n" + kLineMark + "\r\nbody",
+      kStart + kLineMark + "Transfer-Encoding: chunked\r\n\r\n" +
+          "4\r\nbody\r\n0\r\n\r\n",
+      kStart + kLineMark + "\r\nbody",
+      "HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + std::string(kLineMark) +
+          "\r\n" + kStart + "Content-Length: 4\r\n\r\nbody",
+      "HTTP/1.1 100 Continue\r\n" + std::string(kLineMark) + "\r\n" + kStart +
+          "\r\nbody"};
+  return kAnswers;
+}
+
 std::vector<std::string> BrokenAnswers() {
   std::vector<std::string> answers;
   for (const std::string& line : BrokenStatusLines()) {
@@ -28,6 +59,11 @@
     answers.push_back("HTTP/1.1 100 Continue\r\n\r\n" + line + fields +
                       "Content-Length: 4\r\n\r\nbody");
   }
+  for (const std::string& line : BrokenFieldLines()) {
+    for (const std::string& answer : MarkedAnswers()) {
+      answers.push_back(Place(answer, line));
+    }
+  }
   return answers;
 }
 
@@ -82,8 +118,19 @@
 }
 
 // Guards against a check that takes sound answers for broken ones.
-TEST_CASE("a sound answer with an unusual status line is complete",
-          "[gateway]") {
+TEST_CASE("a sound answer with unusual fields is complete", "[gateway]") {
+  for (const std::string& line :
+       {std::string("X-Mark: here"), std::string("x!#$%&'*+-.^_`|~9:v"),
+        std::string("X:"), std::string("X: \t"), std::string("X:\tv\t"),
+        std::string("X: caf\xc3\xa9 \xe9"), std::string("X: a: b, \"c d\""),
+        std::string("X: HTTP/1.1 000")}) {
+    for (const std::string& answer : MarkedAnswers()) {
+      for (std::size_t step : {answer.size(), std::size_t{1}}) {
+        CAPTURE(line, answer, step);
+        CHECK(Answered(Place(answer, line), step).outcome.complete);
+      }
+    }
+  }
   for (const char* status :
        {"HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 599 X",
         "HTTP/1.1 418 I'm a \xc3\xa9 \t teapot", "\r\nHTTP/1.1 200 OK"}) {
@@ -95,6 +142,23 @@
       Answered("HTTP/1.1 200 OK\nContent-Length: 2\n\nok", 1).outcome.complete);
 }
 
+// Guards against a line of the trailers that is dropped unread. The body has
+// arrived by then, but what ends it is no part of an answer.
+TEST_CASE("an answer with broken trailers is a failed call", "[gateway]") {
+  std::string start =
+      kStart + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n";
+  CHECK(Answered(start + "X-Sum: 1\r\n\r\n", 1).outcome.complete);
+  for (const std::string& line : BrokenFieldLines()) {
+    std::string answer = start + line + "\r\n\r\n";
+    for (std::size_t step : {answer.size(), std::size_t{1}}) {
+      CAPTURE(answer, step);
+      Answered answered(answer, step);
+      CHECK_FALSE(answered.outcome.complete);
+      CHECK_FALSE(answered.kept);
+    }
+  }
+}
+
 // Guards against a success for the caller, or a second run.
 TEST_CASE("a caller gets no broken answer", "[gateway]") {
   for (const std::string& answer : BrokenAnswers()) {
@@ -131,5 +195,25 @@
   CHECK(Contains(response, "\r\n\r\nsound"));
 }
 
+// Guards against a stream that goes on with the events of a broken answer.
+TEST_CASE("a stream is not resumed with a broken answer", "[gateway]") {
+  ForwarderFixture f(3);
+  ConnectionId caller = f.Request("POST", "/stream/x", "r1", "", "b");
+  Arrival first = f.NextArrival();
+  f.Respond(first,
+            ForwarderFixture::StreamHead("r1") + ForwarderFixture::Event(1));
+  f.transport.End(first.connection, ConnectionEnd::kReset);
+  Arrival second = f.NextArrival();
+  f.Respond(second, ForwarderFixture::StreamHead("r1", "\rX: v\r\n") +
+                        ForwarderFixture::Event(2) + std::string(kLastChunk));
+  Arrival third = f.NextArrival();
+  REQUIRE(Contains(third.text, "Last-Event-Id: 1"));
+  f.Respond(third, ForwarderFixture::StreamHead("r1") +
+                       ForwarderFixture::Event(2) + std::string(kLastChunk));
+  std::string response = f.transport.TakeSent(caller);
+  CHECK(Contains(response, "data: d2"));
+  CHECK(Contains(response, std::string(kLastChunk)));
+}
+
 }  // namespace
 }  // namespace filbertshift
--- a/tests/unit/support/broken_lines.cc
+++ b/tests/unit/support/broken_lines.cc
@@ -14,4 +14,32 @@
   return kLines;
 }
 
+const std::vector<std::string>& BrokenFieldLines() {
+  static const std::vector<std::string> kLines = {"X Y: v",
+                                                  " X: v",
+                                                  "X : v",
+                                                  "\tX: v",
+                                                  "X\tY: v",
+                                                  "X\t: v",
+                                                  "X\x01Y: v",
+                                                  "\x01X: v",
+                                                  "X\x7f: v",
+                                                  "X\xe9: v",
+                                                  "X\rY: v",
+                                                  "\rX: v",
+                                                  "\r X: v",
+                                                  std::string("X\0Y: v", 6),
+                                                  std::string("\0X: v", 5),
+                                                  ": v",
+                                                  "Xv",
+                                                  " continued",
+                                                  "Content-Length : 4",
+                                                  " Content-Length: 4",
+                                                  "Transfer-Encoding : chunked",
+                                                  "HTTP/1.1 200 OK",
+                                                  "X: v\x01",
+                                                  "X: v\rY: w"};
+  return kLines;
+}
+
 }  // namespace filbertshift
--- a/tests/unit/support/broken_lines.h
+++ b/tests/unit/support/broken_lines.h
@@ -10,6 +10,10 @@
 
 const std::vector<std::string>& BrokenStatusLines();
 
+// Lines in place of a field: blanks and control bytes in, before and after its
+// name, a continued line, and lines without a name or a colon.
+const std::vector<std::string>& BrokenFieldLines();
+
 }  // namespace filbertshift
 
 #endif  // TESTS_UNIT_SUPPORT_BROKEN_LINES_H_
