Reject answers whose framing is ambiguous, in every client

A body could end in another place than its endpoint meant, or hold the bytes of a coding that nobody asked for: http-parser reads an answer with the transfer coding gzip to the end of its connection and one with "gzip, chunked" as chunks; libcurl takes the last of two lengths and the digits in front of a length.

ResponseCheck rejects more than one length, a length that is no number, a length with a transfer coding, and any coding but chunked. A sound endpoint sends none of them: the clients announce no transfer coding (RFC 9112 sections 6.1 to 6.3).

--- a/src/http1/response_check.cc
+++ b/src/http1/response_check.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cctype>
 
+#include "src/http1/http_message.h"
+
 namespace filbertshift {
 
 namespace {
@@ -44,6 +46,8 @@
       return "malformed answer: field name";
     case ResponseFault::kFieldValue:
       return "malformed answer: field value";
+    case ResponseFault::kFraming:
+      return "malformed answer: framing";
   }
   return "malformed answer";
 }
@@ -82,6 +86,8 @@
 }
 
 ResponseFault ResponseCheck::CheckStatusLine(std::string_view text) {
+  has_length_ = false;
+  has_coding_ = false;
   if (text.size() < kStatusStart + kStatusDigits ||
       text.substr(0, kVersion.size()) != kVersion ||
       !IsDigit(text[kVersion.size()]) || text[kStatusStart - 1] != ' ') {
@@ -104,9 +110,27 @@
   if (colon == std::string_view::npos || !IsFieldName(text.substr(0, colon))) {
     return ResponseFault::kFieldName;
   }
-  return HasControlCharacter(text.substr(colon + 1))
-             ? ResponseFault::kFieldValue
+  std::string_view value = text.substr(colon + 1);
+  if (HasControlCharacter(value)) {
+    return ResponseFault::kFieldValue;
+  }
+  return part_ == Part::kFields
+             ? CheckFraming(text.substr(0, colon), TrimBlanks(value))
              : ResponseFault::kNone;
 }
 
+ResponseFault ResponseCheck::CheckFraming(std::string_view name,
+                                          std::string_view value) {
+  bool valid = true;
+  if (EqualsIgnoringCase(name, "Content-Length")) {
+    valid = !has_length_ && AreDigits(value);
+    has_length_ = true;
+  } else if (EqualsIgnoringCase(name, "Transfer-Encoding")) {
+    valid = !has_coding_ && EqualsIgnoringCase(value, "chunked");
+    has_coding_ = true;
+  }
+  valid = valid && !(has_length_ && has_coding_);
+  return valid ? ResponseFault::kNone : ResponseFault::kFraming;
+}
+
 }  // namespace filbertshift
--- a/src/http1/response_check.h
+++ b/src/http1/response_check.h
@@ -21,6 +21,9 @@
   kFieldName,
   // A control character in a value.
   kFieldValue,
+  // More than one length, a length that is no number, a length with chunks, or
+  // a transfer coding that was not asked for.
+  kFraming,
 };
 
 // For logs. kNone stands for a fault that another parser has found.
@@ -47,12 +50,15 @@
 
   // Each returns the fault of the line; `text` has no line break.
   ResponseFault CheckStatusLine(std::string_view text);
-  static ResponseFault CheckField(std::string_view text);
+  ResponseFault CheckField(std::string_view text);
+  ResponseFault CheckFraming(std::string_view name, std::string_view value);
 
   Part part_ = Part::kStatusLine;
   ResponseFault fault_ = ResponseFault::kNone;
   // Of the current head.
   bool interim_ = false;
+  bool has_length_ = false;
+  bool has_coding_ = false;
 };
 
 }  // namespace filbertshift
--- a/tests/unit/http1/http_parser_adapter_test.cc
+++ b/tests/unit/http1/http_parser_adapter_test.cc
@@ -76,6 +76,29 @@
   CHECK_FALSE(parser.keep_alive());
 }
 
+// Guards against a body that ends in another place than its sender meant.
+TEST_CASE("ambiguous framing of an answer is refused", "[http1]") {
+  for (const char* fields :
+       {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+        "Content-Length: 3\r\nContent-Length: 3\r\n",
+        "Content-Length: 3\r\nContent-Length: 4\r\n",
+        "Content-Length: 3, 3\r\n", "Content-Length: 3x\r\n",
+        "Content-Length: +3\r\n", "Content-Length: -3\r\n",
+        "Content-Length:\r\n", "Transfer-Encoding: gzip\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked, gzip\r\n", "Transfer-Encoding: x\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"}) {
+    INFO(fields);
+    HttpMessageParser parser(Kind::kResponse, {});
+    parser.Feed(std::string("HTTP/1.1 200 OK\r\n") + fields +
+                "\r\n3\r\nabc\r\n0\r\n\r\n");
+    parser.FeedEnd();
+    CHECK(parser.error() == HttpParseError::kMalformed);
+    CHECK_FALSE(parser.complete());
+  }
+}
+
 TEST_CASE("a truncated response with a length is not complete", "[http1]") {
   HttpMessageParser parser(Kind::kResponse, {});
   parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
