Reject answers with broken chunks

Callers could get a body that was not the endpoint's: bytes between two chunks were dropped, and the answer was passed on as whole.

Cause: http-parser as built in Debian takes any two bytes for the line break after a chunk, any byte for the LF after the size of a chunk, and any text after the size. libcurl checks the line breaks itself ("bad chunk size" of "endpoint client classifies faulty responses"; its line break after a chunk was read, not run).

HttpMessageParser passes the library the line of a size once ResponseCheck has accepted it, the bytes of the chunk, and its line break once it is one. Bodies of requests are read as before: they are sent on with a length of our own.

--- a/src/http1/http_parser_adapter.cc
+++ b/src/http1/http_parser_adapter.cc
@@ -18,8 +18,10 @@
   response_ = HttpResponseHead();
   body_.clear();
   check_ = ResponseCheck();
-  reads_lines_ = kind_ == Kind::kResponse;
+  next_ = kind_ == Kind::kResponse ? Part::kField : Part::kBytes;
   line_ = std::string();
+  chunk_left_ = 0;
+  chunk_end_bytes_ = 0;
   head_bytes_ = 0;
   announced_bytes_ = 0;
   body_bytes_ = 0;
@@ -37,7 +39,21 @@
   while (used < data.size() && !complete_ && error_ == HttpParseError::kNone) {
     started_ = true;
     std::string_view rest = data.substr(used);
-    used += reads_lines_ ? FeedLine(rest) : Execute(rest);
+    switch (next_) {
+      case Part::kBytes:
+        used += Execute(rest);
+        break;
+      case Part::kField:
+      case Part::kChunkSize:
+        used += FeedLine(rest);
+        break;
+      case Part::kChunk:
+        used += FeedChunk(rest);
+        break;
+      case Part::kChunkEnd:
+        used += FeedChunkEnd(rest);
+        break;
+    }
   }
   return used;
 }
@@ -58,7 +74,9 @@
   if (!whole) {
     return used;
   }
-  if (check_.AddLine(line)) {
+  bool valid = next_ == Part::kChunkSize ? check_.AddChunkSize(line)
+                                         : check_.AddLine(line);
+  if (valid) {
     Execute(line);
   } else {
     error_ = HttpParseError::kMalformed;
@@ -67,6 +85,31 @@
   return used;
 }
 
+std::size_t HttpMessageParser::FeedChunk(std::string_view data) {
+  std::size_t size = std::min(chunk_left_, data.size());
+  Execute(data.substr(0, size));
+  chunk_left_ -= size;
+  if (chunk_left_ == 0) {
+    next_ = Part::kChunkEnd;
+    chunk_end_bytes_ = 0;
+  }
+  return size;
+}
+
+// The library takes any two bytes for the line break.
+std::size_t HttpMessageParser::FeedChunkEnd(std::string_view data) {
+  constexpr std::string_view kLineBreak = "\r\n";
+  if (data.front() != kLineBreak[chunk_end_bytes_]) {
+    error_ = HttpParseError::kMalformed;
+    return 1;
+  }
+  Execute(data.substr(0, 1));
+  if (++chunk_end_bytes_ == kLineBreak.size()) {
+    next_ = Part::kChunkSize;
+  }
+  return 1;
+}
+
 std::size_t HttpMessageParser::Execute(std::string_view data) {
   std::size_t used =
       http_parser_execute(&parser_, &Callbacks(), data.data(), data.size());
@@ -74,9 +117,7 @@
   if (complete_) {
     return std::min(used, data.size());
   }
-  if (code == HPE_PAUSED) {
-    http_parser_pause(&parser_, 0);
-  } else if (code != HPE_OK && error_ == HttpParseError::kNone) {
+  if (code != HPE_OK && error_ == HttpParseError::kNone) {
     error_ = code == HPE_HEADER_OVERFLOW ? HttpParseError::kHeadTooLarge
                                          : HttpParseError::kMalformed;
   }
@@ -225,7 +266,9 @@
                        parser->status_code == 304 || self->interim();
   self->keep_alive_ = http_should_keep_alive(parser) != 0;
   self->head_complete_ = true;
-  self->reads_lines_ = false;
+  bool checks_chunks =
+      self->kind_ == Kind::kResponse && (parser->flags & F_CHUNKED) != 0;
+  self->next_ = checks_chunks ? Part::kChunkSize : Part::kBytes;
   self->announced_bytes_ = static_cast<std::size_t>(parser->content_length);
   bool too_large = (parser->flags & F_CONTENTLENGTH) != 0 &&
                    parser->content_length > self->limits_.max_body_bytes;
@@ -238,10 +281,9 @@
 
 int HttpMessageParser::OnChunkHead(http_parser* parser) {
   HttpMessageParser* self = Self(parser);
-  if (self->kind_ == Kind::kResponse && parser->content_length == 0) {
-    self->reads_lines_ = true;
-    // Leaves the trailers to FeedLine.
-    http_parser_pause(parser, 1);
+  if (self->kind_ == Kind::kResponse) {
+    self->chunk_left_ = static_cast<std::size_t>(parser->content_length);
+    self->next_ = self->chunk_left_ == 0 ? Part::kField : Part::kChunk;
   }
   return 0;
 }
--- a/src/http1/http_parser_adapter.h
+++ b/src/http1/http_parser_adapter.h
@@ -1,6 +1,7 @@
 // Incremental HTTP/1.1 parser on top of the http-parser library. It parses one
 // message at a time and leaves the bytes after a message to its user. The lines
-// of a response reach the library only after ResponseCheck has accepted them.
+// of a response reach the library only after ResponseCheck has accepted them,
+// and its chunks only with their line breaks.
 
 #ifndef SRC_HTTP1_HTTP_PARSER_ADAPTER_H_
 #define SRC_HTTP1_HTTP_PARSER_ADAPTER_H_
@@ -78,6 +79,17 @@
   std::string TakeBody();
 
  private:
+  // What comes next.
+  enum class Part {
+    // Bytes that need no check: a request, or a body without chunks.
+    kBytes,
+    // A line of the head or of the trailers of a response.
+    kField,
+    kChunkSize,
+    kChunk,
+    kChunkEnd,
+  };
+
   static int OnUrl(http_parser* parser, const char* data, std::size_t size);
   static int OnReason(http_parser* parser, const char* data, std::size_t size);
   static int OnField(http_parser* parser, const char* data, std::size_t size);
@@ -91,9 +103,11 @@
 
   // Passes bytes on to the library. Returns how many of them it used.
   std::size_t Execute(std::string_view data);
-  // Passes the next line on if it is complete and valid, otherwise keeps it.
-  // Returns the number of bytes up to the end of the line.
+  // Each of these passes the next part of a response on if it is valid, and
+  // returns how many bytes it used. A line is passed on once it is complete.
   std::size_t FeedLine(std::string_view data);
+  std::size_t FeedChunk(std::string_view data);
+  std::size_t FeedChunkEnd(std::string_view data);
   bool AddHeadBytes(std::size_t size);
   bool CheckRequestFields() const;
   bool CheckRequestFraming() const;
@@ -106,10 +120,13 @@
   HttpResponseHead response_;
   std::string body_;
   ResponseCheck check_;
-  // In a response: the next bytes belong to its head or trailers.
-  bool reads_lines_ = false;
+  Part next_ = Part::kBytes;
   // Start of the current line, of which the library has no byte yet.
   std::string line_;
+  // Bytes of the current chunk that have not arrived, and how many of its line
+  // break have.
+  std::size_t chunk_left_ = 0;
+  std::size_t chunk_end_bytes_ = 0;
   std::size_t head_bytes_ = 0;
   // Valid if the message has a Content-Length.
   std::size_t announced_bytes_ = 0;
--- a/src/http1/response_check.cc
+++ b/src/http1/response_check.cc
@@ -13,6 +13,7 @@
 // "HTTP/1.x " before the status.
 constexpr std::size_t kStatusStart = kVersion.size() + 2;
 constexpr std::size_t kStatusDigits = 3;
+constexpr std::string_view kLineBreak = "\r\n";
 // What the name of a field may hold besides letters and digits.
 constexpr std::string_view kNameSymbols = "!#$%&'*+-.^_`|~";
 
@@ -85,6 +86,21 @@
   return fault_ == ResponseFault::kNone;
 }
 
+bool ResponseCheck::AddChunkSize(std::string_view line) {
+  constexpr std::string_view kDigits = "0123456789abcdefABCDEF";
+  std::string_view text = WithoutLineBreak(line);
+  // Extensions of a chunk are ignored, as RFC 9112 section 7.1.1 asks for.
+  std::string_view size = TrimBlanks(text.substr(0, text.find(';')));
+  bool valid = !size.empty() &&
+               size.find_first_not_of(kDigits) == std::string_view::npos &&
+               text.find_first_of(" \t") != 0 && !HasControlCharacter(text) &&
+               line.size() == text.size() + kLineBreak.size();
+  if (!valid) {
+    fault_ = ResponseFault::kFraming;
+  }
+  return fault_ == ResponseFault::kNone;
+}
+
 ResponseFault ResponseCheck::CheckStatusLine(std::string_view text) {
   has_length_ = false;
   has_coding_ = false;
--- a/src/http1/response_check.h
+++ b/src/http1/response_check.h
@@ -21,8 +21,9 @@
   kFieldName,
   // A control character in a value.
   kFieldValue,
-  // More than one length, a length that is no number, a length with chunks, or
-  // a transfer coding that was not asked for.
+  // More than one length, a length that is no number, a length with chunks, a
+  // transfer coding that was not asked for, or the size of a chunk that is no
+  // number.
   kFraming,
 };
 
@@ -41,6 +42,8 @@
   // Adds the next line, with its line break. Returns false if the response is
   // not valid up to here; it then stays so.
   bool AddLine(std::string_view line);
+  // As AddLine, for the line of a chunk's size.
+  bool AddChunkSize(std::string_view line);
   ResponseFault fault() const { return fault_; }
   // Whether the final head has ended.
   bool head_complete() const { return part_ == Part::kTrailers; }
--- a/tests/unit/http1/http_parser_adapter_test.cc
+++ b/tests/unit/http1/http_parser_adapter_test.cc
@@ -99,6 +99,63 @@
   }
 }
 
+// Parses a chunked response in pieces of `step` bytes.
+struct ChunkedResponse {
+  ChunkedResponse(const std::string& chunks, std::size_t step)
+      : parser(Kind::kResponse, {}) {
+    std::string text =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks;
+    std::size_t used = 0;
+    while (used < text.size() && !parser.complete() &&
+           parser.error() == HttpParseError::kNone) {
+      used += parser.Feed(std::string_view(text).substr(used, step));
+      body += parser.TakeBody();
+    }
+    rest = text.substr(used);
+  }
+  HttpMessageParser parser;
+  std::string body;
+  std::string rest;
+};
+
+// Guards against a body that holds bytes of its chunks' lines, or lacks some of
+// its own.
+TEST_CASE("a body with broken chunks is refused", "[http1]") {
+  for (const char* chunks :
+       {"2\r\nhiXY0\r\n\r\n", "2\r\nhi\n0\r\n\r\n", "2\r\nhi\r0\r\n\r\n",
+        "2\r\nhi0\r\n\r\n", "1\r\nhi\r\n0\r\n\r\n", "2\rXhi\r\n0\r\n\r\n",
+        "2\nhi\r\n0\r\n\r\n", "2;a\nhi\r\n0\r\n\r\n", "2 x\r\nhi\r\n0\r\n\r\n",
+        " 2\r\nhi\r\n0\r\n\r\n", "0x2\r\nhi\r\n0\r\n\r\n",
+        "+2\r\nhi\r\n0\r\n\r\n", "-2\r\nhi\r\n0\r\n\r\n",
+        "\r\n2\r\nhi\r\n0\r\n\r\n", ";a\r\nhi\r\n", "2\r\nhi\r\n0\rX\r\n",
+        "2\r\nhi\r\n0\r\n\rX", "10000000000000000\r\nhi\r\n0\r\n\r\n"}) {
+    for (std::size_t step : {std::size_t{1}, std::size_t{1000}}) {
+      CAPTURE(chunks, step);
+      ChunkedResponse response(chunks, step);
+      response.parser.FeedEnd();
+      CHECK_FALSE(response.parser.complete());
+    }
+  }
+}
+
+TEST_CASE("a body with sound chunks is complete", "[http1]") {
+  for (const char* chunks :
+       {"4\r\nbo\r\n\r\n0\r\n\r\n", "4;a=\"b\";c\r\nbo\r\n\r\n0;d\r\n\r\n",
+        "004 \r\nbo\r\n\r\n000\r\nX-Sum: 1\r\n\r\n",
+        "1\r\nb\r\n3\r\no\r\n\r\n0\r\nX-A: 1\r\nX-B: 2\r\n\r\n"}) {
+    for (std::size_t step : {std::size_t{1}, std::size_t{1000}}) {
+      CAPTURE(chunks, step);
+      ChunkedResponse response(std::string(chunks) + "HTTP", step);
+      CHECK(response.parser.complete());
+      CHECK(response.body == "bo\r\n");
+      CHECK(response.rest == "HTTP");
+      CHECK(response.parser.keep_alive());
+    }
+  }
+  ChunkedResponse large("1A\r\n" + std::string(26, 'x') + "\r\n0\r\n\r\n", 7);
+  CHECK(large.body == std::string(26, 'x'));
+}
+
 TEST_CASE("a truncated response with a length is not complete", "[http1]") {
   HttpMessageParser parser(Kind::kResponse, {});
   parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
