Test framing faults in the endpoint client and resets at the caller

Bytes in place of the line break after a chunk were handled already.

"a caller gets no part of an answer to its upload" checks what the caller of a request that may run once gets after a reset or an early end: 502 with "unknown", no second run.

--- a/tests/unit/endpoint/endpoint_test.cc
+++ b/tests/unit/endpoint/endpoint_test.cc
@@ -346,6 +346,21 @@
       FaultyResponse{"bad content length",
                      "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nabc", true,
                      AttemptOutcome::kGarbage},
+      FaultyResponse{"two lengths",
+                     "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n"
+                     "Content-Length: 3\r\n\r\nabc",
+                     true, AttemptOutcome::kGarbage},
+      FaultyResponse{"length with text",
+                     "HTTP/1.1 200 OK\r\nContent-Length: 3x\r\n\r\nabc", true,
+                     AttemptOutcome::kGarbage},
+      FaultyResponse{"length with chunks",
+                     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+                     true, AttemptOutcome::kGarbage},
+      FaultyResponse{"chunk without line break",
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "3\r\nabcXY0\r\n\r\n",
+                     true, AttemptOutcome::kBroken},
       FaultyResponse{"large body",
                      "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
                          std::string(200'000, 'x'),
--- a/tests/unit/gateway/reset_answer_test.cc
+++ b/tests/unit/gateway/reset_answer_test.cc
@@ -12,6 +12,7 @@
 #include <thread>
 
 #include "src/gateway/http_client.h"
+#include "tests/unit/gateway/forwarder_fixture.h"
 #include "tests/unit/support/loopback.h"
 
 namespace filbertshift {
@@ -179,5 +180,35 @@
   CHECK(outcome.body == kPart);
 }
 
+// Guards against a success for the caller, a promise that its request has not
+// run, or a second run.
+TEST_CASE("a caller gets no part of an answer to its upload", "[gateway]") {
+  auto end = GENERATE(ConnectionEnd::kReset, ConnectionEnd::kClosed);
+  CAPTURE(ConnectionEndName(end));
+  ForwarderFixture f;
+  for (const char* endpoint : {"e1", "e2"}) {
+    f.transport.SetSlowAddress(f.AddressOf(endpoint));
+  }
+  ConnectionId caller =
+      f.Request("POST", "/once/x", "r1", "", std::string(100000, 'u'));
+  ConnectionId connection{};
+  for (const char* endpoint : {"e1", "e2"}) {
+    for (ConnectionId open : f.transport.OpenTo(f.AddressOf(endpoint))) {
+      connection = open;
+    }
+  }
+  REQUIRE(f.transport.TakeSent(connection, 1000).size() == 1000);
+  f.transport.Receive(connection, kHead +
+                                      "Filbertshift-Attempt-Id: r1\r\n"
+                                      "Filbertshift-Response-Seal: s\r\n\r\n" +
+                                      kPart);
+  f.transport.End(connection, end);
+  CHECK(f.NothingArrives(milliseconds(300)));
+  std::string response = f.transport.TakeSent(caller);
+  CHECK(response.substr(0, 13) == "HTTP/1.1 502 ");
+  CHECK(response.find("\"unknown\"") != std::string::npos);
+  CHECK(response.find(kPart) == std::string::npos);
+}
+
 }  // namespace
 }  // namespace filbertshift
