Count only lines of the head towards the limit of a head

Found by reading. It now bounds lines that are not whole, and counts the head only within the head; whole lines are counted as before, by their fields.

--- a/src/http1/http_parser_adapter.cc
+++ b/src/http1/http_parser_adapter.cc
@@ -63,15 +63,16 @@
   bool whole = end != std::string_view::npos;
   std::string_view line = data.substr(0, whole ? end + 1 : data.size());
   std::size_t used = line.size();
-  if (head_bytes_ + line_.size() + used > limits_.max_head_bytes) {
-    error_ = HttpParseError::kHeadTooLarge;
-    return used;
-  }
   if (!whole || !line_.empty()) {
     line_.append(line);
     line = line_;
   }
   if (!whole) {
+    // The fields of whole lines are counted when the library reports them.
+    std::size_t counted = head_complete_ ? 0 : head_bytes_;
+    if (counted + line_.size() > limits_.max_head_bytes) {
+      error_ = HttpParseError::kHeadTooLarge;
+    }
     return used;
   }
   bool valid = next_ == Part::kChunkSize ? check_.AddChunkSize(line)
--- a/tests/unit/http1/http_parser_adapter_test.cc
+++ b/tests/unit/http1/http_parser_adapter_test.cc
@@ -156,6 +156,21 @@
   CHECK(large.body == std::string(26, 'x'));
 }
 
+// Guards against a limit of the head that counts lines of the body.
+TEST_CASE("a long head leaves room for the lines of chunks", "[http1]") {
+  std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX: " +
+                     std::string(990, 'x') +
+                     "\r\n\r\n2;extension\r\nhi\r\n0\r\nX-Sum: 1\r\n\r\n";
+  for (std::size_t step : {std::size_t{1}, text.size()}) {
+    INFO(step);
+    HttpMessageParser parser(Kind::kResponse, {1024, 100});
+    for (std::size_t i = 0; i < text.size(); i += step) {
+      parser.Feed(text.substr(i, step));
+    }
+    CHECK(parser.complete());
+  }
+}
+
 TEST_CASE("a truncated response with a length is not complete", "[http1]") {
   HttpMessageParser parser(Kind::kResponse, {});
   parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
