--- a/tests/unit/support/loopback.cc
+++ b/tests/unit/support/loopback.cc
@@ -74,7 +74,7 @@
 void TestSocket::Disconnect() const {
   sockaddr none{};
   none.sa_family = AF_UNSPEC;
-  connect(descriptor_, &none, sizeof(none));
+  Check(connect(descriptor_, &none, sizeof(none)), "connect");
 }
 
 bool TestSocket::Write(std::string_view bytes) const {
