Count no reply that ends before its request is sent in libcurl's clients

An acknowledgement of the table service, the object store or an instance counted though the server had stopped before it had the whole request: a reply without a length, and the orderly end of its connection in the middle of the upload.

Cause: libcurl takes the end of the connection for the end of such a reply and reports success, whether or not the upload was complete. A reset was reported as a failure already.

ResponseCheck::DescribeIncomplete says why a response is none, for both clients: its fault, its end within the head, or, without a length or chunks, before its request is sent, which libcurl tells by the bytes it has uploaded.

--- a/src/backing_services/http_transfer.cc
+++ b/src/backing_services/http_transfer.cc
@@ -12,14 +12,6 @@
 // 1 MB from the table service and stored responses of up to 16 MB.
 constexpr std::size_t kMaxResponseBytes = std::size_t{64} * 1024 * 1024;
 
-std::string DescribeFailure(CURLcode code, const ResponseCheck& check) {
-  if (check.fault() != ResponseFault::kNone) {
-    return std::string(DescribeFault(check.fault()));
-  }
-  return code == CURLE_OK ? "the response ends within its head"
-                          : curl_easy_strerror(code);
-}
-
 }  // namespace
 
 HttpTransfer::HttpTransfer(HttpRequest request)
@@ -124,10 +116,18 @@
   curl_easy_getinfo(handle_.get(), CURLINFO_REQUEST_SIZE, &request_bytes);
   result.sent = request_bytes > 0;
   // libcurl reports success for a connection that is closed within the head of
-  // a response, as long as no length was read.
-  result.complete = code == CURLE_OK && check_.head_complete();
+  // a response, as long as no length was read, and for one that is closed while
+  // the request is being sent.
+  curl_off_t uploaded = 0;
+  curl_easy_getinfo(handle_.get(), CURLINFO_SIZE_UPLOAD_T, &uploaded);
+  const std::string_view problem = check_.DescribeIncomplete(
+      static_cast<std::size_t>(uploaded) >= request_.body.size());
+  result.complete = code == CURLE_OK && problem.empty();
   if (!result.complete) {
-    result.detail = DescribeFailure(code, check_);
+    const bool found_by_check =
+        code == CURLE_OK || check_.fault() != ResponseFault::kNone;
+    result.detail =
+        found_by_check ? std::string(problem) : curl_easy_strerror(code);
     return result;
   }
   long status = 0;
--- a/src/ctl/operator_client.cc
+++ b/src/ctl/operator_client.cc
@@ -58,14 +58,6 @@
                    static_cast<curl_off_t>(call.body.size()));
 }
 
-std::string DescribeFailure(CURLcode code, const ResponseCheck& check) {
-  if (check.fault() != ResponseFault::kNone) {
-    return std::string(DescribeFault(check.fault()));
-  }
-  return code == CURLE_OK ? "the response ends within its head"
-                          : curl_easy_strerror(code);
-}
-
 // libcurl reports a connect time of 0 if no connection was established.
 CallOutcome FailureOutcome(CURL* easy) {
   curl_off_t connected_after = 0;
@@ -109,10 +101,19 @@
   SetBody(easy.get(), call);
   CURLcode code = curl_easy_perform(easy.get());
   // libcurl reports success for a connection that is closed within the head of
-  // a response, as long as no length was read.
-  if (code != CURLE_OK || !check.head_complete()) {
+  // a response, as long as no length was read, and for one that is closed while
+  // the request is being sent.
+  curl_off_t uploaded = 0;
+  curl_easy_getinfo(easy.get(), CURLINFO_SIZE_UPLOAD_T, &uploaded);
+  const std::string_view problem = check.DescribeIncomplete(
+      call.method == "GET" ||
+      static_cast<std::size_t>(uploaded) >= call.body.size());
+  if (code != CURLE_OK || !problem.empty()) {
+    const bool found_by_check =
+        code == CURLE_OK || check.fault() != ResponseFault::kNone;
     reply.outcome = FailureOutcome(easy.get());
-    reply.detail = DescribeFailure(code, check);
+    reply.detail =
+        found_by_check ? std::string(problem) : curl_easy_strerror(code);
     return reply;
   }
   long status = 0;
--- a/src/http1/response_check.cc
+++ b/src/http1/response_check.cc
@@ -86,6 +86,19 @@
   return fault_ == ResponseFault::kNone;
 }
 
+std::string_view ResponseCheck::DescribeIncomplete(bool request_sent) const {
+  if (fault_ != ResponseFault::kNone) {
+    return DescribeFault(fault_);
+  }
+  if (part_ != Part::kTrailers) {
+    return "the response ends within its head";
+  }
+  bool has_framing = has_no_body_ || has_length_ || has_coding_;
+  return has_framing || request_sent
+             ? std::string_view()
+             : "the response ends before its request is sent";
+}
+
 bool ResponseCheck::AddChunkSize(std::string_view line) {
   constexpr std::string_view kDigits = "0123456789abcdefABCDEF";
   std::string_view text = WithoutLineBreak(line);
@@ -118,6 +131,7 @@
     return ResponseFault::kStatusLine;
   }
   interim_ = status.front() == '1';
+  has_no_body_ = status == "204" || status == "304";
   return ResponseFault::kNone;
 }
 
--- a/src/http1/response_check.h
+++ b/src/http1/response_check.h
@@ -45,8 +45,10 @@
   // As AddLine, for the line of a chunk's size.
   bool AddChunkSize(std::string_view line);
   ResponseFault fault() const { return fault_; }
-  // Whether the final head has ended.
-  bool head_complete() const { return part_ == Part::kTrailers; }
+  // Why a response that another parser takes for a whole one is none; empty if
+  // it is one. Without a length or chunks, the end of the connection ends it;
+  // unless the request was sent by then, the peer may have stopped halfway.
+  std::string_view DescribeIncomplete(bool request_sent) const;
 
  private:
   enum class Part { kStatusLine, kFields, kTrailers };
@@ -60,6 +62,7 @@
   ResponseFault fault_ = ResponseFault::kNone;
   // Of the current head.
   bool interim_ = false;
+  bool has_no_body_ = false;
   bool has_length_ = false;
   bool has_coding_ = false;
 };
--- a/tests/unit/backing_services/cut_reply_test.cc
+++ b/tests/unit/backing_services/cut_reply_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 #include <string>
 #include <thread>
@@ -21,6 +22,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kEarlyResetDelay{5};
+constexpr milliseconds kEarlyCloseDelay{50};
 
 const std::string kReplies[] = {
     "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\n",
@@ -28,22 +30,37 @@
     "Transfer-Encoding: chunked\r\n\r\n",
     "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"};
 
-// Accepts one connection, reads the request, sends `reply` and closes. An early
-// reply is sent after the head of the request, and the connection is reset.
+// When a reply is sent, and how its connection ends.
+enum class ReplyKind {
+  // After the request; the connection is closed.
+  kWhole,
+  // After the head of the request; the connection is reset.
+  kEarlyReset,
+  // After the head of the request; the server closes its side in order, reads
+  // no
+  // more, and closes the connection later.
+  kEarlyClose,
+};
+
+// Accepts one connection and replies.
 class OneReply {
  public:
-  explicit OneReply(const std::string& reply, bool early = false)
-      : socket_(ListenOnLoopback()), thread_([this, reply, early] {
+  explicit OneReply(const std::string& reply,
+                    ReplyKind kind = ReplyKind::kWhole)
+      : socket_(ListenOnLoopback()), thread_([this, reply, kind] {
           TestSocket peer = AcceptFrom(socket_, milliseconds(2000));
-          if (early) {
-            peer.ReadUntil("\r\n\r\n");
-          } else {
+          if (kind == ReplyKind::kWhole) {
             peer.ReadMessage();
+          } else {
+            peer.ReadUntil("\r\n\r\n");
           }
           peer.Write(reply);
-          if (early) {
+          if (kind == ReplyKind::kEarlyReset) {
             std::this_thread::sleep_for(kEarlyResetDelay);
             peer.Reset();
+          } else if (kind == ReplyKind::kEarlyClose) {
+            shutdown(peer.descriptor(), SHUT_WR);
+            std::this_thread::sleep_for(kEarlyCloseDelay);
           }
         }) {}
   ~OneReply() { thread_.join(); }
@@ -154,8 +171,9 @@
 TEST_CASE("a part of a reply to an upload is no reply", "[backing_services]") {
   std::string method = GENERATE("PUT", "POST");
   bool resend = GENERATE(true, false);
-  CAPTURE(method, resend);
-  OneReply server(kPartOfReply, true);
+  ReplyKind kind = GENERATE(ReplyKind::kEarlyReset, ReplyKind::kEarlyClose);
+  CAPTURE(method, resend, static_cast<int>(kind));
+  OneReply server(kPartOfReply, kind);
   HttpRequest request;
   request.method = method;
   request.url = "http://" + server.address() + "/";
@@ -168,8 +186,10 @@
 }
 
 TEST_CASE("a part of a reply to an operator's upload is no reply", "[ctl]") {
+  ReplyKind kind = GENERATE(ReplyKind::kEarlyReset, ReplyKind::kEarlyClose);
+  CAPTURE(static_cast<int>(kind));
   CurlOperatorClient client;
-  OneReply server(kPartOfReply, true);
+  OneReply server(kPartOfReply, kind);
   CallSpec call;
   call.method = "PUT";
   call.address = server.address();
@@ -178,5 +198,34 @@
   CHECK(client.Call(call).outcome == CallOutcome::kNoReply);
 }
 
+// Guards against a rule that fails every reply without a length.
+TEST_CASE("a reply without a length to a whole upload is complete",
+          "[backing_services][ctl]") {
+  std::string method = GENERATE("PUT", "POST");
+  bool resend = GENERATE(true, false);
+  std::size_t bytes = GENERATE(std::size_t{0}, std::size_t{10}, kUploadBytes);
+  CAPTURE(method, resend, bytes);
+  {
+    OneReply server(kPartOfReply);
+    HttpRequest request;
+    request.method = method;
+    request.url = "http://" + server.address() + "/";
+    request.body = std::string(bytes, 'u');
+    request.resend = resend;
+    request.timeout = milliseconds(2000);
+    HttpTransfer transfer(request);
+    CURLcode code = curl_easy_perform(transfer.handle());
+    CHECK(transfer.TakeResult(code).complete);
+  }
+  CurlOperatorClient client;
+  OneReply server(kPartOfReply);
+  CallSpec call;
+  call.method = method;
+  call.address = server.address();
+  call.target = "/";
+  call.body = std::string(bytes, 'u');
+  CHECK(client.Call(call).outcome == CallOutcome::kReplied);
+}
+
 }  // namespace
 }  // namespace filbertshift
