--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -220,8 +220,14 @@
       {EventId::kInstanceEntriesIgnored, kWarning, "instance_entries_ignored",
        "Some entries of the instance list cannot be read and are ignored; the "
        "others are in use."},
+      {EventId::kStoreHistoryLost, kInfo, "store_history_lost",
+       "The store does not have the changes after the version in the detail; "
+       "the table is listed anew."},
       {EventId::kInstanceCountChanged, kInfo, "instance_count_changed",
        "The number of live instances that share limits has changed."},
+      {EventId::kStoreSnapshotRefused, kWarning, "store_snapshot_refused",
+       "The store listed a table as of an earlier version than the one known; "
+       "the known contents stay in force."},
       {EventId::kCallerRequestCut, kInfo, "caller_request_cut",
        "A caller's connection ended while only a part of a request had "
        "arrived; the detail has the reason and the bytes received."},
--- a/src/fleet/fleet_documents.h
+++ b/src/fleet/fleet_documents.h
@@ -124,6 +124,8 @@
   // Process start time in Unix milliseconds; a change indicates a restart.
   std::int64_t started_at = 0;
   std::vector<ModelId> models;
+  // Store version of the row.
+  std::int64_t row_version = 0;
 };
 
 struct RolloutOrder {
--- a/src/fleet/fleet_view.cc
+++ b/src/fleet/fleet_view.cc
@@ -227,6 +227,7 @@
     RemoveEndpoint(endpoint);
     return RowEffect::kUnusable;
   }
+  record->row_version = row.version;
   lapsed_.erase(endpoint);
   auto found = endpoints_.find(endpoint);
   if (found != endpoints_.end() &&
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -383,11 +383,12 @@
       EventId::kRoutedEndpointChanged,
       {RequestId(), AttemptId(), record.endpoint},
       fmt::format("service={} address={} zone={} version={} draining={} "
-                  "cold_ms={} started_at={}",
+                  "cold_ms={} started_at={} row={}",
                   record.service.value(), record.address,
                   record.data_centre.value(), record.version.value(),
                   record.state == EndpointState::kDraining,
-                  record.cold_remaining.count(), record.started_at));
+                  record.cold_remaining.count(), record.started_at,
+                  record.row_version));
   forwarder_.pool().Update(record, transport_->Now());
 }
 
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -129,6 +129,7 @@
 void StoreFollower::HandleResponse() {
   if (status_ == kStoreHistoryLost) {
     metrics_->CountStoreCall(StoreTableName(table_), "history_lost");
+    listener_->OnHistoryLost(table_);
     listing_ = true;
     pages_.rows.clear();
     CallAfter(milliseconds(0));
@@ -169,7 +170,10 @@
     return;
   }
   listing_ = false;
-  listener_->OnTable(std::exchange(pages_, TableSnapshot{table_, 0, {}}));
+  if (!listener_->OnTable(
+          std::exchange(pages_, TableSnapshot{table_, 0, {}}))) {
+    metrics_->CountStoreCall(StoreTableName(table_), "refused_snapshot");
+  }
   CallAfter(milliseconds(0));
 }
 
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -22,7 +22,10 @@
  public:
   virtual ~StoreFollowerListener() = default;
   virtual std::int64_t KnownVersion(StoreTable table) const = 0;
-  virtual void OnTable(const TableSnapshot& snapshot) = 0;
+  // Returns false if the snapshot was refused as older than the known contents.
+  virtual bool OnTable(const TableSnapshot& snapshot) = 0;
+  // The store does not have the changes after the known version.
+  virtual void OnHistoryLost(StoreTable table) = 0;
   virtual void OnChanges(StoreTable table, const RowsResponse& response) = 0;
   // Reports the current value of the store's monotonic clock.
   virtual void OnStoreTime(std::chrono::milliseconds store_time) = 0;
--- a/src/gateway/view_source.cc
+++ b/src/gateway/view_source.cc
@@ -38,6 +38,7 @@
 constexpr milliseconds kMaxRetryDelay{1600};
 constexpr milliseconds kMaxRetryDelayInLargeFleet{3200};
 constexpr std::size_t kLargeFleet = 64;
+constexpr milliseconds kFruitlessLogInterval{1000};
 
 }  // namespace
 
@@ -250,8 +251,33 @@
   return view_->as_of(table);
 }
 
-void ViewSource::OnTable(const TableSnapshot& snapshot) {
-  view_->ReplaceTable(snapshot, RowSource::kStore, transport_->Now());
+bool ViewSource::OnTable(const TableSnapshot& snapshot) {
+  std::int64_t known = view_->as_of(snapshot.table);
+  if (view_->ReplaceTable(snapshot, RowSource::kStore, transport_->Now())) {
+    return true;
+  }
+  LogFruitlessRead(EventId::kStoreSnapshotRefused, snapshot.table,
+                   fmt::format("as_of={} known={} rows={}", snapshot.as_of,
+                               known, snapshot.rows.size()));
+  return false;
+}
+
+void ViewSource::OnHistoryLost(StoreTable table) {
+  LogFruitlessRead(EventId::kStoreHistoryLost, table,
+                   fmt::format("after={}", view_->as_of(table)));
+}
+
+void ViewSource::LogFruitlessRead(EventId event,
+                                  StoreTable table,
+                                  std::string detail) {
+  TimePoint now = transport_->Now();
+  auto logged = fruitless_logged_at_.find({event, table});
+  if (logged != fruitless_logged_at_.end() &&
+      now - logged->second < kFruitlessLogInterval) {
+    return;
+  }
+  fruitless_logged_at_[{event, table}] = now;
+  log_->Write(event, fmt::format("table={} {}", StoreTableName(table), detail));
 }
 
 void ViewSource::OnChanges(StoreTable table, const RowsResponse& response) {
@@ -293,8 +319,9 @@
   for (const PeerTable& entry : view.tables) {
     StoreTable table = entry.changes.table;
     if (entry.age > limits[static_cast<int>(table)]) {
-      return fmt::format("table={} age_ms={}", StoreTableName(table),
-                         entry.age.count());
+      return fmt::format("table={} age_ms={} as_of={} known={}",
+                         StoreTableName(table), entry.age.count(),
+                         entry.changes.as_of, view_->as_of(table));
     }
   }
   return std::string();
--- a/src/gateway/view_source.h
+++ b/src/gateway/view_source.h
@@ -5,6 +5,7 @@
 #define SRC_GATEWAY_VIEW_SOURCE_H_
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -67,7 +68,8 @@
 
   // StoreFollowerListener and PeerReaderListener:
   std::int64_t KnownVersion(StoreTable table) const override;
-  void OnTable(const TableSnapshot& snapshot) override;
+  bool OnTable(const TableSnapshot& snapshot) override;
+  void OnHistoryLost(StoreTable table) override;
   void OnChanges(StoreTable table, const RowsResponse& response) override;
   void OnStoreTime(std::chrono::milliseconds store_time) override;
   void OnStoreError(StoreTable table, std::string_view detail) override;
@@ -86,6 +88,9 @@
   // Returns why the peer's view cannot replace the store; empty if it can.
   std::string UnfitReason(const PeerView& view) const;
   void AbandonReader(std::string_view reason);
+  // Logs a read of the store that led to no change, at most once a second for
+  // each table.
+  void LogFruitlessRead(EventId event, StoreTable table, std::string detail);
   std::vector<std::string> PeerAddresses() const;
 
   const GatewaySettings settings_;
@@ -113,6 +118,8 @@
   std::optional<std::chrono::milliseconds> store_clock_offset_;
   bool store_reachable_ = true;
   std::optional<TimePoint> last_store_error_at_;
+  // When a fruitless read was last logged.
+  std::map<std::pair<EventId, StoreTable>, TimePoint> fruitless_logged_at_;
 };
 
 }  // namespace filbertshift
