Let the stand-in store return from an older copy

It names its era in all answers, loses what was written since the copy, answers 410 to reads after a version that it does not have, and removes rows in transactions. No test uses it yet.

--- a/tests/unit/gateway/stand_ins.cc
+++ b/tests/unit/gateway/stand_ins.cc
@@ -75,6 +75,18 @@
   history_from_ = ++version_;
 }
 
+void StandInStore::ReturnTo(const Copy& copy) {
+  tables_ = copy.tables;
+  version_ = copy.version;
+  history_from_ = std::min(history_from_, version_);
+  if (era_.has_value()) {
+    ++*era_;
+  }
+  for (const Waiting& waiting : std::exchange(waiting_, {})) {
+    server_.AbortResponse(waiting.caller, CallerCloseReason::kBrokenOff);
+  }
+}
+
 std::size_t StandInStore::CountWaiting(const std::string& table) const {
   return static_cast<std::size_t>(
       std::count_if(waiting_.begin(), waiting_.end(),
@@ -100,6 +112,9 @@
                          const std::string& body) {
   HttpResponseHead head{status, "X", {}};
   head.headers.Add("Content-Type", "application/json");
+  if (era_.has_value()) {
+    head.headers.Add("Store-Era", fmt::format("{}", *era_));
+  }
   server_.Respond(caller, head, body);
 }
 
@@ -146,7 +161,8 @@
     Waiting waiting{++last_waiting_, caller,
                     QueryParameter(head.target, "table"),
                     ParseInteger(QueryParameter(head.target, "after"))};
-    if (waiting.after < history_from_) {
+    if (waiting.after < history_from_ || waiting.after > version_) {
+      ++lost_reads_;
       Reply(caller, 410, "{}");
       return;
     }
@@ -205,6 +221,10 @@
     tables_[row.at("table")][row.at("key")] =
         Row{FromBase64(row.at("value")), version_, false};
   }
+  for (const json& row : message.at("remove")) {
+    tables_[row.at("table")][row.at("key")] =
+        Row{std::string(), version_, true};
+  }
   Reply(caller, 200,
         fmt::format("{{\"row_version\":{},\"now_ms\":0}}", version_));
   RespondToWaiting();
--- a/tests/unit/gateway/stand_ins.h
+++ b/tests/unit/gateway/stand_ins.h
@@ -5,6 +5,7 @@
 #define TESTS_UNIT_GATEWAY_STAND_INS_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,12 @@
 // In-memory row store. Requests for changes are long polls.
 class StandInStore : public HttpRequestHandler {
  public:
+  struct Row {
+    std::string value;
+    std::int64_t version = 0;
+    bool removed = false;
+  };
+
   explicit StandInStore(Transport* transport);
   AcceptListener* listener() { return &server_; }
 
@@ -27,6 +34,21 @@
   void ForgetHistory();
   // While true, every request gets status 503.
   void SetBusy(bool busy) { busy_ = busy; }
+
+  // Contents of the store at a version.
+  struct Copy {
+    std::map<std::string, std::map<std::string, Row>> tables;
+    std::int64_t version = 0;
+  };
+  Copy SaveCopy() const { return {tables_, version_}; }
+  // Loses all that was written since the copy was saved and raises the era.
+  // Waiting requests are cut off.
+  void ReturnTo(const Copy& copy);
+  // Every response carries the era; not set: none does.
+  void SetEra(std::optional<std::int64_t> era) { era_ = era; }
+  std::optional<std::int64_t> era() const { return era_; }
+  // Reads that got status 410.
+  int lost_reads() const { return lost_reads_; }
   // Number of requests that wait for changes of the table.
   std::size_t CountWaiting(const std::string& table) const;
   bool Has(const std::string& table, const std::string& key) const;
@@ -42,11 +64,6 @@
   void OnRejected(int status, std::string_view reason) override;
 
  private:
-  struct Row {
-    std::string value;
-    std::int64_t version = 0;
-    bool removed = false;
-  };
   struct Waiting {
     // Tells this request apart from later ones of the same connection.
     std::uint64_t number;
@@ -72,6 +89,8 @@
   bool busy_ = false;
   int transactions_ = 0;
   int reads_ = 0;
+  int lost_reads_ = 0;
+  std::optional<std::int64_t> era_ = 1;
 };
 
 // Answers each request with a sealed response; streams three events on /stream/
