--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -228,6 +228,14 @@
       {EventId::kStoreSnapshotRefused, kWarning, "store_snapshot_refused",
        "The store listed a table as of an earlier version than the one known; "
        "the known contents stay in force."},
+      {EventId::kStoreReturned, kWarning, "store_returned",
+       "The store has returned from an older copy, and this instance has read "
+       "one of its tables (0 operator, 1 endpoints, 2 instances) anew. The "
+       "detail has the new and the known era and version, and what stays in "
+       "force until it is written again."},
+      {EventId::kStoreEraRejected, kWarning, "store_era_rejected",
+       "An answer of the store names no era, or one that cannot be read; the "
+       "known era stays. At most once while this lasts."},
       {EventId::kCallerRequestCut, kInfo, "caller_request_cut",
        "A caller's connection ended while only a part of a request had "
        "arrived; the detail has the reason and the bytes received."},
--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -111,6 +111,8 @@
   kStoreHistoryLost = 1749,
   kInstanceCountChanged = 1750,
   kStoreSnapshotRefused = 1751,
+  kStoreReturned = 1752,
+  kStoreEraRejected = 1753,
   kCallerRequestCut = 1760,
   kEndpointProbed = 1770,
   kEndpointCrashed = 1780,
--- a/src/dispatch/version_policy.cc
+++ b/src/dispatch/version_policy.cc
@@ -94,7 +94,8 @@
   return kept;
 }
 
-void VersionPolicy::Stop(const ServiceId& service, std::int64_t order_version) {
+void VersionPolicy::Stop(const ServiceId& service,
+                         const StoreVersion& order_version) {
   stopped_[service] = order_version;
 }
 
--- a/src/dispatch/version_policy.h
+++ b/src/dispatch/version_policy.h
@@ -59,7 +59,7 @@
                    std::optional<LoadTestWindow> window);
   bool InLoadTest(const ServiceId& service, TimePoint now) const;
   // Sends no further requests of this instance to the candidate.
-  void Stop(const ServiceId& service, std::int64_t order_version);
+  void Stop(const ServiceId& service, const StoreVersion& order_version);
   bool IsStopped(const RolloutOrder& order) const;
   // Hashes of the sessions that this instance keeps on the stable version
   // although their hash assigns them to the candidate.
@@ -96,7 +96,7 @@
   };
 
   const std::chrono::milliseconds session_retention_;
-  std::map<ServiceId, std::int64_t> stopped_;
+  std::map<ServiceId, StoreVersion> stopped_;
   std::map<ServiceId, LoadTestWindow> load_tests_;
   std::unordered_map<std::string, Session> sessions_;
   std::set<std::uint32_t> kept_by_peers_;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -18,6 +18,7 @@
 #include "src/fleet/reader_selector.h"
 #include "src/fleet/rollout_driver.h"
 #include "src/fleet/rollout_evidence.h"
+#include "src/fleet/rollout_records.h"
 #include "src/fleet/store_row.h"
 
 #endif  // SRC_FLEET_FLEET_H_
--- a/src/fleet/fleet_documents.h
+++ b/src/fleet/fleet_documents.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "src/common/common.h"
+#include "src/fleet/store_row.h"
 
 namespace filbertshift {
 
@@ -132,8 +133,9 @@
   ServiceId service;
   VersionId to;
   std::chrono::milliseconds deadline{0};
-  // Store version of the order row; reissuing an order changes it.
-  std::int64_t order_version = 0;
+  // Store version of the order row; reissuing an order changes it, writing it
+  // again after the store has lost it does not.
+  StoreVersion order_version;
 };
 
 enum class RolloutPhase { kInProgress, kCompleted, kReverted };
--- a/src/fleet/fleet_view.cc
+++ b/src/fleet/fleet_view.cc
@@ -41,13 +41,17 @@
 
 void FleetView::ApplyChanges(StoreTable table,
                              const std::vector<StoreRow>& rows,
-                             std::int64_t as_of,
+                             const StoreVersion& as_of,
                              RowSource source,
                              TimePoint now) {
+  Table& known = TableFor(table);
+  if (known.confirmed_at != TimePoint() && as_of.era != known.as_of.era) {
+    return;
+  }
+  known.as_of.era = as_of.era;
   for (const StoreRow& row : rows) {
     Apply(table, row, source, now);
   }
-  Table& known = TableFor(table);
   known.as_of = std::max(known.as_of, as_of);
   known.confirmed_at = std::max(known.confirmed_at, now);
   if (table == StoreTable::kInstances) {
@@ -63,7 +67,10 @@
     return false;
   }
   if (known.confirmed_at == TimePoint()) {
-    known.removals_complete_after = snapshot.as_of;
+    known.removals_complete_after = snapshot.as_of.number;
+  } else if (snapshot.as_of.era > known.as_of.era) {
+    StartEra(snapshot, source, now);
+    return true;
   }
   std::set<std::string> present;
   for (const StoreRow& row : snapshot.rows) {
@@ -72,7 +79,8 @@
   std::vector<StoreRow> removed;
   for (const auto& entry : known.rows) {
     if (present.count(entry.first) == 0) {
-      removed.push_back({entry.first, std::string(), snapshot.as_of, true});
+      removed.push_back(
+          {entry.first, std::string(), snapshot.as_of.number, true});
     }
   }
   for (const StoreRow& row : removed) {
@@ -95,15 +103,16 @@
     return;
   }
   RowEffect effect = RowEffect::kChanged;
+  bool superseded = row.version <= known.superseded_until;
   switch (table) {
     case StoreTable::kOperator:
-      ApplyOperatorRow(row, now);
+      ApplyOperatorRow(row, superseded, now);
       break;
     case StoreTable::kEndpoints:
-      effect = ApplyEndpointRow(row, source, now);
+      effect = ApplyEndpointRow(row, superseded, source, now);
       break;
     case StoreTable::kInstances:
-      ApplyInstanceRow(row);
+      ApplyInstanceRow(row, superseded);
       break;
   }
   if (row.removed) {
@@ -112,8 +121,13 @@
     return;
   }
   // The row of a record that lapsed and returned is unchanged here but must be
-  // sent to the other instances, which may have removed it.
-  bool is_new = found == known.rows.end();
+  // sent to the other instances, which may have removed it. So must one that is
+  // written for the first time since the store returned: others may have
+  // ignored the copied one.
+  bool is_new = found == known.rows.end() ||
+                (known.copied_until.has_value() &&
+                 found->second.row.version <= *known.copied_until &&
+                 row.version > *known.copied_until);
   KnownRow& kept = known.rows[row.key];
   bool was_usable = !kept.row.value.empty();
   kept.row = row;
@@ -135,25 +149,34 @@
   }
 }
 
-void FleetView::ApplyOperatorRow(const StoreRow& row, TimePoint now) {
+void FleetView::ApplyOperatorRow(const StoreRow& row,
+                                 bool superseded,
+                                 TimePoint now) {
   OperatorKey key = codec_.ParseOperatorKey(row.key);
   if (std::holds_alternative<ConfigurationKey>(key)) {
     ApplyConfiguration(row, now);
   } else if (const auto* rollout = std::get_if<RolloutKey>(&key)) {
-    ApplyOrder(rollout->service, row, now);
+    ApplyOrder(rollout->service, row, superseded, now);
   } else if (const auto* evacuation = std::get_if<EvacuationKey>(&key)) {
-    if (row.removed) {
-      evacuated_.erase(evacuation->data_centre);
-    } else {
-      evacuated_.insert(evacuation->data_centre);
+    if (!superseded) {
+      SetEvacuated(evacuation->data_centre, !row.removed, row.version);
     }
-    log_->Write(
-        EventId::kEvacuationChanged,
-        fmt::format("{} evacuated={} row={}", evacuation->data_centre.value(),
-                    !row.removed, row.version));
   }
 }
 
+void FleetView::SetEvacuated(const DataCentreId& data_centre,
+                             bool evacuated,
+                             std::int64_t row_version) {
+  if (evacuated) {
+    evacuated_.insert(data_centre);
+  } else {
+    evacuated_.erase(data_centre);
+  }
+  log_->Write(EventId::kEvacuationChanged,
+              fmt::format("{} evacuated={} row={}", data_centre.value(),
+                          evacuated, row_version));
+}
+
 void FleetView::ApplyConfiguration(const StoreRow& row, TimePoint now) {
   if (row.removed) {
     log_->Write(
@@ -190,9 +213,10 @@
 
 void FleetView::ApplyOrder(const ServiceId& service,
                            const StoreRow& row,
+                           bool superseded,
                            TimePoint now) {
   if (row.removed) {
-    orders_.erase(service);
+    rollouts_.RemoveOrder(service);
     return;
   }
   std::vector<Finding> findings;
@@ -203,15 +227,20 @@
     return;
   }
   order->service = service;
-  order->order_version = row.version;
+  if (superseded && rollouts_.Differs(*order)) {
+    return;
+  }
+  bool is_new = rollouts_.SetOrder(
+      *order, {TableFor(StoreTable::kOperator).as_of.era, row.version});
   log_->Write(
       EventId::kRolloutOrdered,
-      fmt::format("service={} to={} deadline_ms={} row={}", service.value(),
-                  order->to.value(), order->deadline.count(), row.version));
-  orders_[service] = *order;
+      fmt::format("service={} to={} deadline_ms={} row={}{}", service.value(),
+                  order->to.value(), order->deadline.count(), row.version,
+                  is_new ? "" : " written again"));
 }
 
 FleetView::RowEffect FleetView::ApplyEndpointRow(const StoreRow& row,
+                                                 bool superseded,
                                                  RowSource source,
                                                  TimePoint now) {
   EndpointId endpoint(row.key);
@@ -219,14 +248,22 @@
     LapseEndpoint(endpoint, source, now);
     return RowEffect::kChanged;
   }
+  if (!superseded) {
+    departed_.erase(row.key);
+  }
   std::vector<Finding> findings;
   std::optional<RoutedEndpoint> record =
       codec_.DecodeEndpoint(row.key, row.value, &findings);
   finding_log_.Write(row.key, findings, now);
   if (!record.has_value()) {
-    RemoveEndpoint(endpoint);
+    if (!superseded) {
+      RemoveEndpoint(endpoint);
+    }
     return RowEffect::kUnusable;
   }
+  if (superseded && IsSuperseded(*record)) {
+    return RowEffect::kUnchanged;
+  }
   record->row_version = row.version;
   lapsed_.erase(endpoint);
   auto found = endpoints_.find(endpoint);
@@ -280,9 +317,12 @@
   }
 }
 
-void FleetView::ApplyInstanceRow(const StoreRow& row) {
+void FleetView::ApplyInstanceRow(const StoreRow& row, bool superseded) {
   if (StartsWith(row.key, kMemberKeyPrefix)) {
     InstanceId instance(row.key.substr(kMemberKeyPrefix.size()));
+    if (superseded && members_.count(instance) > 0) {
+      return;
+    }
     std::optional<MemberState> state =
         row.removed ? std::nullopt : DecodeMemberState(row.value);
     if (!state.has_value()) {
@@ -294,16 +334,17 @@
   } else if (StartsWith(row.key, kProgressKeyPrefix)) {
     ServiceId service(row.key.substr(kProgressKeyPrefix.size()));
     std::optional<RolloutProgress> progress =
-        row.removed ? std::nullopt : DecodeRolloutProgress(row.value);
+        row.removed
+            ? std::nullopt
+            : DecodeRolloutProgress(row.value,
+                                    TableFor(StoreTable::kInstances).as_of.era);
+    rollouts_.SetProgressRow(service, progress);
     if (progress.has_value()) {
-      progress_[service] = *progress;
       log_->Write(EventId::kRolloutProgress,
                   fmt::format("service={} to={} exposure={} state={} row={}",
                               service.value(), progress->to.value(),
                               progress->exposure_permille,
                               static_cast<int>(progress->state), row.version));
-    } else {
-      progress_.erase(service);
     }
   } else if (StartsWith(row.key, kQuarantineKeyPrefix)) {
     CauseId cause(row.key.substr(kQuarantineKeyPrefix.size()));
@@ -331,6 +372,9 @@
   for (const EndpointId& endpoint : expired) {
     RemoveEndpoint(endpoint);
   }
+  if (operator_settles_at_.has_value() && *operator_settles_at_ <= now) {
+    SettleOperatorRows(now);
+  }
 }
 
 void FleetView::ReportOmittedFindings(TimePoint now) {
@@ -343,7 +387,7 @@
   });
 }
 
-std::int64_t FleetView::as_of(StoreTable table) const {
+const StoreVersion& FleetView::as_of(StoreTable table) const {
   return TableFor(table).as_of;
 }
 
@@ -352,19 +396,25 @@
 }
 
 TableChanges FleetView::ChangesSince(StoreTable table,
-                                     std::int64_t version) const {
+                                     const StoreVersion& version) const {
   const Table& known = TableFor(table);
-  TableChanges changes{
-      table, known.as_of, version < known.removals_complete_after, {}};
+  TableChanges changes{table,
+                       known.as_of,
+                       version.era != known.as_of.era ||
+                           version.number < known.removals_complete_after,
+                       {},
+                       known.copied_until};
   if (!changes.full_table) {
     for (const StoreRow& row : known.removals) {
-      if (row.version > version && known.rows.count(row.key) == 0) {
+      if (row.version > version.number && known.rows.count(row.key) == 0) {
         changes.rows.push_back(row);
       }
     }
   }
   for (const auto& [key, entry] : known.rows) {
-    if (changes.full_table || entry.content_version > version) {
+    bool departed = table == StoreTable::kEndpoints && departed_.count(key) > 0;
+    if (!departed &&
+        (changes.full_table || entry.content_version > version.number)) {
       changes.rows.push_back(entry.row);
     }
   }
@@ -374,14 +424,18 @@
 bool FleetView::ApplyPeerChanges(const TableChanges& changes,
                                  TimePoint confirmed_at) {
   const Table& known = TableFor(changes.table);
-  if (changes.as_of < known.as_of ||
+  bool needs_full_table =
+      known.confirmed_at != TimePoint() && changes.as_of.era != known.as_of.era;
+  if ((needs_full_table && !changes.full_table) ||
+      changes.as_of < known.as_of ||
       (changes.as_of == known.as_of && confirmed_at <= known.confirmed_at)) {
     return false;
   }
   bool newer = changes.as_of > known.as_of;
   if (changes.full_table) {
-    ReplaceTable({changes.table, changes.as_of, changes.rows}, RowSource::kPeer,
-                 confirmed_at);
+    ReplaceTable(
+        {changes.table, changes.as_of, changes.rows, changes.copied_until},
+        RowSource::kPeer, confirmed_at);
   } else {
     ApplyChanges(changes.table, changes.rows, changes.as_of, RowSource::kPeer,
                  confirmed_at);
@@ -389,11 +443,6 @@
   return newer;
 }
 
-const RolloutProgress* FleetView::FindProgress(const ServiceId& service) const {
-  auto found = progress_.find(service);
-  return found == progress_.end() ? nullptr : &found->second;
-}
-
 std::int64_t FleetView::ProgressRowVersion(const ServiceId& service) const {
   const Table& known = TableFor(StoreTable::kInstances);
   auto found =
--- a/src/fleet/fleet_view.h
+++ b/src/fleet/fleet_view.h
@@ -1,5 +1,9 @@
 // An instance's view of the fleet, built from store rows that it reads directly
 // or through other instances. A row never replaces a newer one.
+//
+// When the store returns from an older copy, its era rises: its rows are read
+// anew, and those that it has only lost keep their effect until they are
+// written again (fleet_view_era.cc).
 
 #ifndef SRC_FLEET_FLEET_VIEW_H_
 #define SRC_FLEET_FLEET_VIEW_H_
@@ -21,6 +25,7 @@
 #include "src/fleet/member_state.h"
 #include "src/fleet/quarantine_row.h"
 #include "src/fleet/rollout_driver.h"
+#include "src/fleet/rollout_records.h"
 #include "src/fleet/store_row.h"
 
 namespace filbertshift {
@@ -36,17 +41,22 @@
 // The complete contents of a table at a store version.
 struct TableSnapshot {
   StoreTable table = StoreTable::kOperator;
-  std::int64_t as_of = 0;
+  StoreVersion as_of;
   std::vector<StoreRow> rows;
+  // Rows up to this number may come from the copy with which the era began;
+  // not set: up to `as_of`.
+  std::optional<std::int64_t> copied_until = std::nullopt;
 };
 
 // Changes that bring the view of another instance up to date with this one.
 struct TableChanges {
   StoreTable table = StoreTable::kOperator;
-  std::int64_t as_of = 0;
+  StoreVersion as_of;
   // `rows` holds the complete table; otherwise only changes and removals.
   bool full_table = false;
   std::vector<StoreRow> rows;
+  // As in TableSnapshot.
+  std::optional<std::int64_t> copied_until = std::nullopt;
 };
 
 // Key prefixes in the table kInstances.
@@ -63,10 +73,11 @@
             EventLog* log,
             FleetViewListener* listener);
 
-  // Applies changes after which the table is current as of version `as_of`.
+  // Applies changes after which the table is current as of version `as_of`, in
+  // the era of the known contents.
   void ApplyChanges(StoreTable table,
                     const std::vector<StoreRow>& rows,
-                    std::int64_t as_of,
+                    const StoreVersion& as_of,
                     RowSource source,
                     TimePoint now);
   // Replaces the table unless the known contents are newer. Returns whether the
@@ -78,19 +89,21 @@
   // as removed are treated as lapsed, because their endpoints may only have
   // been unable to renew them. Removals reported by a peer are applied at once.
   void OnStoreFailure(TimePoint now);
-  // Removes lapsed endpoints whose grace period is over.
+  // Removes lapsed endpoints whose grace period is over, and what the store has
+  // lost if the operator has not written it again in time.
   void ExpireLapsed(TimePoint now);
   // Logs how many findings were left out of the log, if any were.
   void ReportOmittedFindings(TimePoint now);
 
   // Every table has been read at least once.
   bool complete() const;
-  std::int64_t as_of(StoreTable table) const;
+  const StoreVersion& as_of(StoreTable table) const;
   // Time at which the table was last confirmed to be current.
   TimePoint confirmed_at(StoreTable table) const;
   // Changes after a version, except for rows in which only the heartbeat
   // changed.
-  TableChanges ChangesSince(StoreTable table, std::int64_t version) const;
+  TableChanges ChangesSince(StoreTable table,
+                            const StoreVersion& version) const;
   // Applies changes from another instance that were current at `confirmed_at`.
   // Returns whether they contained a newer version.
   bool ApplyPeerChanges(const TableChanges& changes, TimePoint confirmed_at);
@@ -105,10 +118,15 @@
   bool IsEvacuated(const DataCentreId& data_centre) const {
     return evacuated_.count(data_centre) > 0;
   }
-  const std::map<ServiceId, RolloutOrder>& orders() const { return orders_; }
-  // nullptr if the service has no progress row.
-  const RolloutProgress* FindProgress(const ServiceId& service) const;
-  // Store version of the progress row; 0 if there is none.
+  const std::map<ServiceId, RolloutOrder>& orders() const {
+    return rollouts_.orders();
+  }
+  // nullptr if no progress of the service is known.
+  const RolloutProgress* FindProgress(const ServiceId& service) const {
+    return rollouts_.FindProgress(service);
+  }
+  const RolloutRecords& rollouts() const { return rollouts_; }
+  // Number of the version of the progress row; 0 if there is none.
   std::int64_t ProgressRowVersion(const ServiceId& service) const;
 
   struct Member {
@@ -137,8 +155,13 @@
   };
 
   struct Table {
-    std::int64_t as_of = 0;
+    StoreVersion as_of;
     TimePoint confirmed_at{};
+    // Rows up to this number may come from the copy with which the era began,
+    // and this instance has known a later state of them; negative: none.
+    std::int64_t superseded_until = -1;
+    // As in TableSnapshot; not set in the first era.
+    std::optional<std::int64_t> copied_until;
     std::unordered_map<std::string, KnownRow> rows;
     // Recent removals, oldest first.
     std::deque<StoreRow> removals;
@@ -155,9 +178,26 @@
              RowSource source,
              TimePoint now);
   static void RecordRemoval(Table* table, const StoreRow& row);
-  void ApplyOperatorRow(const StoreRow& row, TimePoint now);
+  // Replaces the table by a snapshot of a later era.
+  void StartEra(const TableSnapshot& snapshot, RowSource source, TimePoint now);
+  void KeepLostEndpoints(const Table& known,
+                         const TableSnapshot& snapshot,
+                         TimePoint now);
+  // Whether the record is an older state of a known endpoint, or that of one
+  // that has left.
+  bool IsSuperseded(const RoutedEndpoint& record) const;
+  // From now on, the operator's rows are what the store has.
+  void SettleOperatorRows(TimePoint now);
+  // `superseded`: a later state of the row is known.
+  void ApplyOperatorRow(const StoreRow& row, bool superseded, TimePoint now);
+  void SetEvacuated(const DataCentreId& data_centre,
+                    bool evacuated,
+                    std::int64_t row_version);
   void ApplyConfiguration(const StoreRow& row, TimePoint now);
-  void ApplyOrder(const ServiceId& service, const StoreRow& row, TimePoint now);
+  void ApplyOrder(const ServiceId& service,
+                  const StoreRow& row,
+                  bool superseded,
+                  TimePoint now);
   enum class RowEffect {
     kChanged,
     // Nothing but the heartbeat changed.
@@ -166,9 +206,10 @@
     kUnusable,
   };
   RowEffect ApplyEndpointRow(const StoreRow& row,
+                             bool superseded,
                              RowSource source,
                              TimePoint now);
-  void ApplyInstanceRow(const StoreRow& row);
+  void ApplyInstanceRow(const StoreRow& row, bool superseded);
   void AdvanceMemberClock(TimePoint now);
   bool IsOlderBeat(const InstanceId& instance, const MemberState& state) const;
   // Removes the endpoint, or lets it lapse during a store outage.
@@ -186,17 +227,22 @@
   std::shared_ptr<const FleetConfiguration> configuration_;
   std::unordered_map<EndpointId, RoutedEndpoint> endpoints_;
   std::set<DataCentreId> evacuated_;
-  std::map<ServiceId, RolloutOrder> orders_;
+  RolloutRecords rollouts_;
   std::map<InstanceId, Member> members_;
   MemberClock member_clock_;
   // Members whose row has changed since the member clock last advanced.
   std::vector<InstanceId> changed_members_;
-  std::map<ServiceId, RolloutProgress> progress_;
   std::map<CauseId, QuarantineRow> quarantine_rows_;
   std::optional<TimePoint> last_store_failure_;
   // Endpoints whose record has lapsed, with the time at which they are removed
   // unless the record returns. Invariant: each is in endpoints_.
   std::map<EndpointId, TimePoint> lapsed_;
+  // Endpoints that had left before the store returned from a copy that has them
+  // again.
+  std::set<std::string> departed_;
+  // Until then, what the operator had written before the store returned stays
+  // in force unless it is written anew.
+  std::optional<TimePoint> operator_settles_at_;
 };
 
 }  // namespace filbertshift
--- a/src/fleet/rollout_driver.cc
+++ b/src/fleet/rollout_driver.cc
@@ -167,7 +167,8 @@
 }  // namespace
 
 std::string EncodeRolloutProgress(const RolloutProgress& progress) {
-  json value{{"order_version", progress.order_version},
+  json value{{"order_version", progress.order_version.number},
+             {"order_era", progress.order_version.era},
              {"to", progress.to.value()},
              {"started_at_ms", progress.started_at.count()},
              {"changed_at_ms", progress.changed_at.count()},
@@ -182,11 +183,17 @@
   return value.dump();
 }
 
-std::optional<RolloutProgress> DecodeRolloutProgress(const std::string& text) {
+std::optional<RolloutProgress> DecodeRolloutProgress(const std::string& text,
+                                                     std::int64_t era) {
   try {
     json value = ParseJson(text);
     RolloutProgress progress;
-    progress.order_version = ToInteger(value.at("order_version"), 0, kMaxCount);
+    progress.order_version.number =
+        ToInteger(value.at("order_version"), 0, kMaxCount);
+    progress.order_version.era =
+        value.contains("order_era")
+            ? ToInteger(value["order_era"], 0, kMaxCount)
+            : era;
     progress.to = VersionId(value.at("to").get<std::string>());
     progress.started_at =
         milliseconds(ToInteger(value.at("started_at_ms"), 0, kMaxCount));
--- a/src/fleet/rollout_driver.h
+++ b/src/fleet/rollout_driver.h
@@ -40,7 +40,7 @@
 
 // Progress row by which all instances route. Times are from the store's clock.
 struct RolloutProgress {
-  std::int64_t order_version = 0;
+  StoreVersion order_version;
   VersionId to;
   std::chrono::milliseconds started_at{0};
   std::chrono::milliseconds changed_at{0};
@@ -64,8 +64,10 @@
 };
 
 std::string EncodeRolloutProgress(const RolloutProgress& progress);
-// Returns an empty value if the text is not a valid progress row.
-std::optional<RolloutProgress> DecodeRolloutProgress(const std::string& text);
+// Returns an empty value if the text is not a valid progress row. `era`: era of
+// the row, for a writer that names no era of the order.
+std::optional<RolloutProgress> DecodeRolloutProgress(const std::string& text,
+                                                     std::int64_t era);
 
 // Maximum number of requests that a bad candidate may receive between its order
 // and its deadline.
--- a/src/fleet/store_row.h
+++ b/src/fleet/store_row.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace filbertshift {
@@ -13,10 +14,34 @@
 enum class StoreTable { kOperator, kEndpoints, kInstances };
 constexpr int kStoreTableCount = 3;
 
+// A moment in the history of the store. When the store returns from an older
+// copy, its era rises, and it gives out numbers again that it has given out
+// before; numbers of different eras are not comparable.
+struct StoreVersion {
+  // 0: the store names no era.
+  std::int64_t era = 0;
+  // Value of a store-wide counter that increases with each transaction.
+  std::int64_t number = 0;
+
+  friend bool operator==(const StoreVersion& a, const StoreVersion& b) {
+    return a.era == b.era && a.number == b.number;
+  }
+  friend bool operator!=(const StoreVersion& a, const StoreVersion& b) {
+    return !(a == b);
+  }
+  // A later era comes after an earlier one, whatever the numbers.
+  friend bool operator<(const StoreVersion& a, const StoreVersion& b) {
+    return std::tie(a.era, a.number) < std::tie(b.era, b.number);
+  }
+  friend bool operator>(const StoreVersion& a, const StoreVersion& b) {
+    return b < a;
+  }
+};
+
 struct StoreRow {
   std::string key;
   std::string value;
-  // Value of a store-wide counter that increases with each transaction.
+  // Number of the version, in the era of the table that holds the row.
   std::int64_t version = 0;
   // The row was removed by the transaction with that version.
   bool removed = false;
@@ -29,6 +54,8 @@
     // 0: the row must not exist.
     std::int64_t version = 0;
   };
+  // Era of the expected versions.
+  std::int64_t era = 0;
   // Rows of the table kInstances.
   std::vector<Expectation> expectations;
   std::vector<StoreRow> puts;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -114,6 +114,9 @@
         instances(GaugeFamily(registry,
                               "filbertshift_live_instances",
                               "Instances that share limits.")),
+        store_era(GaugeFamily(registry,
+                              "filbertshift_store_era",
+                              "Latest era that the store has named.")),
         request_memory(GaugeFamily(registry,
                                    "filbertshift_request_memory_bytes",
                                    "Memory of callers' requests.")),
@@ -181,6 +184,7 @@
   prometheus::Family<prometheus::Gauge>& in_progress;
   prometheus::Family<prometheus::Gauge>& endpoints;
   prometheus::Family<prometheus::Gauge>& instances;
+  prometheus::Family<prometheus::Gauge>& store_era;
   prometheus::Family<prometheus::Gauge>& request_memory;
   prometheus::Family<prometheus::Gauge>& blocked_causes;
   prometheus::Family<prometheus::Counter>& admission_refusals;
@@ -294,6 +298,10 @@
   families_->instances.Add({}).Set(static_cast<double>(instances));
 }
 
+void GatewayMetrics::SetStoreEra(std::int64_t era) {
+  families_->store_era.Add({}).Set(static_cast<double>(era));
+}
+
 void GatewayMetrics::SetRequestMemory(std::size_t bytes) {
   families_->request_memory.Add({}).Set(static_cast<double>(bytes));
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -50,6 +50,7 @@
   void SetInProgress(std::size_t exchanges);
   void SetEndpoints(std::size_t endpoints);
   void SetInstances(std::size_t instances);
+  void SetStoreEra(std::int64_t era);
   // Memory of callers' requests.
   void SetRequestMemory(std::size_t bytes);
   // Prompt parts and requests that are blocked because they crash endpoints.
--- a/src/gateway/gateway_ports.h
+++ b/src/gateway/gateway_ports.h
@@ -102,8 +102,9 @@
 struct RowsResponse {
   std::vector<StoreRow> rows;
   bool has_more = false;
-  // Latest version of the store when it responded.
-  std::int64_t as_of = 0;
+  // Latest version of the store when it responded. DecodeRows() does not set
+  // the era.
+  StoreVersion as_of;
   // Monotonic clock of the store.
   std::chrono::milliseconds store_time{0};
 };
@@ -122,6 +123,11 @@
       const StoreTransaction& transaction) const = 0;
   // Throws FindingsError if the body cannot be decoded.
   virtual RowsResponse DecodeRows(const std::string& body) const = 0;
+  // Era of the store that the head of a response names. Empty, with a finding,
+  // if it names none or one that cannot be read.
+  virtual std::optional<std::int64_t> DecodeEra(
+      const HttpResponseHead& head,
+      std::vector<Finding>* findings) const = 0;
 };
 
 // HTTP status codes of the store.
--- a/src/gateway/operator_pages.cc
+++ b/src/gateway/operator_pages.cc
@@ -64,6 +64,7 @@
 
 std::string OperatorPages::InstancePage() const {
   json view{{"source", source_.SourceName()},
+            {"store_era", source_.store_era().current()},
             {"in_progress", forwarder_.in_progress()}};
   if (view_.configuration() != nullptr) {
     view["configuration"] = view_.configuration()->version;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -27,22 +27,29 @@
 constexpr milliseconds kMaxIdle{3600000};
 // Crashes are told to peers that only read after this time.
 constexpr milliseconds kMinToldCrashAge{250};
+// Position of the era in an encoded table, before the number up to which rows
+// may be copied.
+constexpr std::size_t kTableEra = 5;
+constexpr std::int64_t kNothingCopied = -1;
 
-// Parses the table versions in "/v1/fleet-view/A/B/C"; 0 for missing ones.
-std::array<std::int64_t, kStoreTableCount> KnownVersions(
-    std::string_view target) {
-  std::array<std::int64_t, kStoreTableCount> versions{};
+// Parses the numbers in "/v1/fleet-view/A/B/C/D/E/F": the versions of the
+// tables, then their eras. Returns those before the first that is missing.
+std::vector<std::int64_t> ParseNumbers(std::string_view target) {
+  std::vector<std::int64_t> numbers;
   std::string_view rest = target.substr(kViewPath.size());
-  for (std::int64_t& version : versions) {
-    if (rest.empty() || rest.front() != '/') {
-      break;
-    }
+  while (!rest.empty() && rest.front() == '/' &&
+         numbers.size() < 2 * kStoreTableCount) {
     rest.remove_prefix(1);
+    std::int64_t number = 0;
     auto result =
-        std::from_chars(rest.data(), rest.data() + rest.size(), version);
+        std::from_chars(rest.data(), rest.data() + rest.size(), number);
+    if (result.ec != std::errc()) {
+      break;
+    }
     rest.remove_prefix(static_cast<std::size_t>(result.ptr - rest.data()));
+    numbers.push_back(number);
   }
-  return versions;
+  return numbers;
 }
 
 // Encodes an unknown time as -1.
@@ -65,9 +72,11 @@
       rows.push_back(
           json::array({row.key, row.value, row.version, row.removed}));
     }
-    tables.push_back(json::array({static_cast<int>(table.changes.table),
-                                  table.changes.as_of, table.changes.full_table,
-                                  table.age.count(), std::move(rows)}));
+    tables.push_back(json::array(
+        {static_cast<int>(table.changes.table), table.changes.as_of.number,
+         table.changes.full_table, table.age.count(), std::move(rows),
+         table.changes.as_of.era,
+         table.changes.copied_until.value_or(kNothingCopied)}));
   }
   json message =
       json::array({view.source.reads_store, EncodeTime(view.source.store_time),
@@ -87,7 +96,7 @@
       PeerTable table;
       table.changes.table = static_cast<StoreTable>(
           ToInteger(entry.at(0), 0, kStoreTableCount - 1));
-      table.changes.as_of = ToInteger(entry.at(1), 0, kMaxCount);
+      table.changes.as_of.number = ToInteger(entry.at(1), 0, kMaxCount);
       table.changes.full_table = entry.at(2).get<bool>();
       table.age = ToDuration(entry.at(3));
       for (const json& row : entry.at(4)) {
@@ -95,6 +104,15 @@
             row.at(0).get<std::string>(), row.at(1).get<std::string>(),
             ToInteger(row.at(2), 0, kMaxCount), row.at(3).get<bool>()});
       }
+      table.names_era = entry.size() > kTableEra + 1;
+      if (table.names_era) {
+        table.changes.as_of.era = ToInteger(entry.at(kTableEra), 0, kMaxCount);
+        std::int64_t copied_until =
+            ToInteger(entry.at(kTableEra + 1), kNothingCopied, kMaxCount);
+        if (copied_until != kNothingCopied) {
+          table.changes.copied_until = copied_until;
+        }
+      }
       view.tables.push_back(std::move(table));
     }
     // Instances of earlier versions do not write rows for others.
@@ -190,7 +208,7 @@
 
 std::string PeerService::EncodeViewFor(const std::string& target,
                                        std::uint64_t committed_beat) const {
-  std::array<std::int64_t, kStoreTableCount> known = KnownVersions(target);
+  std::vector<std::int64_t> known = ParseNumbers(target);
   PeerView view;
   view.source = source_.Source();
   view.committed_beat = committed_beat;
@@ -198,8 +216,14 @@
   for (int i = 0; i < kStoreTableCount; ++i) {
     auto table = static_cast<StoreTable>(i);
     if (view_.confirmed_at(table) != TimePoint()) {
+      auto position = static_cast<std::size_t>(i);
+      std::size_t era_position = position + kStoreTableCount;
+      // A reader of an earlier version names no era.
+      StoreVersion version{known.size() > era_position ? known[era_position]
+                                                       : view_.as_of(table).era,
+                           known.size() > position ? known[position] : 0};
       view.tables.push_back(
-          {view_.ChangesSince(table, known[static_cast<std::size_t>(i)]),
+          {view_.ChangesSince(table, version),
            duration_cast<milliseconds>(transport_.Now() -
                                        view_.confirmed_at(table))});
     }
@@ -226,10 +250,13 @@
   HttpRequestHead head;
   head.method = row.empty() ? "GET" : "POST";
   head.target = std::string(kViewPath);
+  std::string eras;
   for (int i = 0; i < kStoreTableCount; ++i) {
-    head.target +=
-        fmt::format("/{}", listener_->KnownVersion(static_cast<StoreTable>(i)));
+    StoreVersion known = listener_->KnownVersion(static_cast<StoreTable>(i));
+    head.target += fmt::format("/{}", known.number);
+    eras += fmt::format("/{}", known.era);
   }
+  head.target += eras;
   head.headers.Add("Host", address);
   if (!row.empty()) {
     head.headers.Add("Content-Length", fmt::format("{}", row.size()));
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -5,7 +5,6 @@
 #ifndef SRC_GATEWAY_PEER_EXCHANGE_H_
 #define SRC_GATEWAY_PEER_EXCHANGE_H_
 
-#include <array>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -25,6 +24,9 @@
 struct PeerTable {
   TableChanges changes;
   std::chrono::milliseconds age{0};
+  // False for a sender of an earlier version, which does not know of eras; the
+  // era of `changes` is not set then.
+  bool names_era = true;
 };
 
 // Where an instance's view comes from.
@@ -104,7 +106,7 @@
 class PeerReaderListener {
  public:
   virtual ~PeerReaderListener() = default;
-  virtual std::int64_t KnownVersion(StoreTable table) const = 0;
+  virtual StoreVersion KnownVersion(StoreTable table) const = 0;
   // `address` is the address that was read.
   virtual void OnPeerView(const std::string& address, const PeerView& view) = 0;
   virtual void OnPeerFailed(const std::string& address,
--- a/src/gateway/quarantine_store.cc
+++ b/src/gateway/quarantine_store.cc
@@ -17,6 +17,8 @@
 constexpr int kMaxRank = 16;
 // Rows of one transaction.
 constexpr std::size_t kMaxRows = 50;
+// Longer than a copy of the store can be old.
+constexpr milliseconds kReleasedRowRetention{60000};
 
 std::string RowKey(const CauseId& cause) {
   return std::string(kQuarantineKeyPrefix) + cause.value();
@@ -79,7 +81,9 @@
   for (const auto& [cause, row] : rows) {
     present.insert(cause);
     auto released = released_rows_.find(cause);
-    if (released != released_rows_.end() && released->second == row.since) {
+    if (released != released_rows_.end() &&
+        released->second.since == row.since) {
+      released->second.seen_at = now;
       continue;
     }
     auto block = quarantine_->blocks().find(cause);
@@ -93,12 +97,21 @@
   quarantine_->Merge(evidence, now);
   for (const auto& [cause, row] : rows) {
     if (quarantine_->blocks().count(cause) == 0) {
-      released_rows_[cause] = row.since;
+      released_rows_[cause] = {row.since, now};
     }
   }
+  for (auto it = released_rows_.begin(); it != released_rows_.end();) {
+    it = now - it->second.seen_at > kReleasedRowRetention
+             ? released_rows_.erase(it)
+             : std::next(it);
+  }
+  std::int64_t era = view_.as_of(StoreTable::kInstances).era;
+  if (std::exchange(era_, era) != era) {
+    // The store has lost the rows that are missing; nobody has removed them.
+    known_rows_.clear();
+  }
   for (const CauseId& cause : known_rows_) {
     if (present.count(cause) == 0) {
-      released_rows_.erase(cause);
       quarantine_->Release(cause);
     }
   }
--- a/src/gateway/quarantine_store.h
+++ b/src/gateway/quarantine_store.h
@@ -36,8 +36,15 @@
   StoreWriter* const writer_;
   // Causes that had a row at the latest step.
   std::set<CauseId> known_rows_;
-  // Rows of blocks that have ended, with their `since`, until they are removed.
-  std::map<CauseId, std::chrono::milliseconds> released_rows_;
+  // Era of the store in which `known_rows_` were read.
+  std::int64_t era_ = 0;
+  struct ReleasedRow {
+    std::chrono::milliseconds since{0};
+    TimePoint seen_at{};
+  };
+  // Rows of blocks that have ended. Kept for a while after their removal, since
+  // the store may return from a copy that has them again.
+  std::map<CauseId, ReleasedRow> released_rows_;
   // When this instance writes a row that differs from the quarantine.
   std::map<CauseId, TimePoint> due_at_;
   bool writing_ = false;
--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -40,9 +40,9 @@
   ImportKeptSessions();
   for (const auto& entry : view_.orders()) {
     const RolloutOrder& order = entry.second;
-    std::int64_t& known_version = known_orders_[order.service];
-    if (known_version != order.order_version) {
-      known_version = order.order_version;
+    auto known = known_orders_.find(order.service);
+    if (known == known_orders_.end() || known->second != order.order_version) {
+      known_orders_[order.service] = order.order_version;
       forwarder_->evidence().RemoveService(order.service);
       rates_.erase(order.service);
       written_.erase(order.service);
@@ -161,6 +161,9 @@
                             order.to.value()));
   }
   std::optional<RolloutProgress> next = NextRolloutProgress(inputs);
+  if (!next.has_value() && view_.rollouts().MustWriteAgain(order.service)) {
+    next = inputs.progress;
+  }
   if (!next.has_value()) {
     due_since_.erase(order.service);
     return;
@@ -209,9 +212,12 @@
                                    const RolloutProgress& progress) {
   std::string key = std::string(kProgressKeyPrefix) + order.service.value();
   StoreTransaction transaction;
+  transaction.era = view_.as_of(StoreTable::kInstances).era;
   transaction.expectations.push_back(
       {key, view_.ProgressRowVersion(order.service)});
-  transaction.puts.push_back({key, EncodeRolloutProgress(progress), 0, false});
+  RolloutProgress written = progress;
+  written.order_version = view_.rollouts().VersionToWrite(order.service);
+  transaction.puts.push_back({key, EncodeRolloutProgress(written), 0, false});
   transaction.status_puts.push_back(
       codec_.EncodeRolloutStatus(order.service, order.to, progress.state));
   std::string detail =
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -78,7 +78,7 @@
   // Rate of requests sent to all versions, by service.
   std::map<ServiceId, RateMeter> rates_;
   // Version of the order for which evidence is being collected, by service.
-  std::map<ServiceId, std::int64_t> known_orders_;
+  std::map<ServiceId, StoreVersion> known_orders_;
   bool writing_ = false;
 };
 
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -42,6 +42,7 @@
                              HttpClient* client,
                              const StoreProtocol& protocol,
                              GatewayMetrics* metrics,
+                             StoreEra* era,
                              StoreFollowerListener* listener)
     : table_(table),
       min_interval_(min_interval),
@@ -51,6 +52,7 @@
       client_(client),
       protocol_(protocol),
       metrics_(metrics),
+      era_(era),
       listener_(listener) {}
 
 void StoreFollower::Start() {
@@ -74,39 +76,67 @@
   }
 }
 
+bool StoreFollower::IsOutdated() const {
+  return listener_->KnownVersion(table_).era < era_->current();
+}
+
+void StoreFollower::StartListing() {
+  listing_ = true;
+  pages_.rows.clear();
+}
+
+void StoreFollower::OnEraRisen() {
+  if (calling_ && IsOutdated()) {
+    transport_->Cancel(timeout_);
+    client_->Cancel(call_);
+    calling_ = false;
+    StartListing();
+    CallAfter(relist_delay_);
+  }
+}
+
 void StoreFollower::Call() {
   if (paused_) {
     call_due_ = true;
     return;
   }
+  if (!listing_ && IsOutdated()) {
+    StartListing();
+    if (relist_delay_.count() > 0) {
+      CallAfter(relist_delay_);
+      return;
+    }
+  }
   StoreRequest request;
   milliseconds timeout = kResponseTimeout;
   if (listing_) {
     if (pages_.rows.empty()) {
-      pages_ = TableSnapshot{table_, 0, {}};
+      pages_ = TableSnapshot{table_, {}, {}};
     }
     request = protocol_.ListRequest(
         table_, pages_.rows.empty() ? std::string() : pages_.rows.back().key);
   } else {
-    request = protocol_.ChangesRequest(table_, listener_->KnownVersion(table_),
-                                       changes_wait_);
+    request = protocol_.ChangesRequest(
+        table_, listener_->KnownVersion(table_).number, changes_wait_);
     timeout += changes_wait_;
   }
-  status_ = 0;
+  head_ = HttpResponseHead();
   body_.clear();
   called_at_ = transport_->Now();
+  calling_ = true;
   call_ = client_->Start(store_address_,
                          SerializeRequestHead(request.head) + request.body,
                          kMaxIdle, this);
   timeout_ = transport_->After(timeout, [this] {
     client_->Cancel(call_);
+    calling_ = false;
     RetryAfterError("timeout");
   });
 }
 
 HeadDecision StoreFollower::OnHead(CallId /*call*/,
                                    const HttpResponseHead& head) {
-  status_ = head.status;
+  head_ = head;
   return HeadDecision::kAccept;
 }
 
@@ -116,27 +146,45 @@
 
 void StoreFollower::OnComplete(CallId /*call*/) {
   transport_->Cancel(timeout_);
-  HandleResponse();
+  calling_ = false;
+  if (CheckEra()) {
+    HandleResponse();
+  }
 }
 
 void StoreFollower::OnFailed(CallId /*call*/,
                              CallFailure /*failure*/,
                              std::string_view detail) {
   transport_->Cancel(timeout_);
+  calling_ = false;
   RetryAfterError(detail);
 }
 
+bool StoreFollower::CheckEra() {
+  if (!era_->Observe(head_)) {
+    RetryAfterError("earlier era");
+    return false;
+  }
+  bool same_list =
+      listing_ && (pages_.rows.empty() || pages_.as_of.era == era_->current());
+  if (same_list || !IsOutdated()) {
+    return true;
+  }
+  StartListing();
+  CallAfter(relist_delay_);
+  return false;
+}
+
 void StoreFollower::HandleResponse() {
-  if (status_ == kStoreHistoryLost) {
+  if (head_.status == kStoreHistoryLost) {
     metrics_->CountStoreCall(StoreTableName(table_), "history_lost");
     listener_->OnHistoryLost(table_);
-    listing_ = true;
-    pages_.rows.clear();
+    StartListing();
     CallAfter(milliseconds(0));
     return;
   }
-  if (status_ != kStoreOk) {
-    RetryAfterError(fmt::format("status {}", status_));
+  if (head_.status != kStoreOk) {
+    RetryAfterError(fmt::format("status {}", head_.status));
     return;
   }
   RowsResponse response;
@@ -146,8 +194,8 @@
     RetryAfterError(error.what());
     return;
   }
+  response.as_of.era = era_->current();
   metrics_->CountStoreCall(StoreTableName(table_), "ok");
-  consecutive_errors_ = 0;
   listener_->OnStoreTime(response.store_time);
   if (listing_) {
     HandleListPage(std::move(response));
@@ -171,13 +219,18 @@
   }
   listing_ = false;
   if (!listener_->OnTable(
-          std::exchange(pages_, TableSnapshot{table_, 0, {}}))) {
+          std::exchange(pages_, TableSnapshot{table_, {}, {}}))) {
     metrics_->CountStoreCall(StoreTableName(table_), "refused_snapshot");
+    // The changes after the known version would be lost again.
+    RetryAfterError("older snapshot");
+    return;
   }
+  consecutive_errors_ = 0;
   CallAfter(milliseconds(0));
 }
 
 void StoreFollower::HandleChanges(const RowsResponse& response) {
+  consecutive_errors_ = 0;
   listener_->OnChanges(table_, response);
   auto elapsed = transport_->Now() - called_at_;
   milliseconds remaining = duration_cast<milliseconds>(min_interval_ - elapsed);
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -1,4 +1,6 @@
-// Follows a store table: lists all rows, then long-polls for changes.
+// Follows a store table: lists all rows, then long-polls for changes. Lists
+// them again if the store has lost the changes or has returned from an older
+// copy.
 
 #ifndef SRC_GATEWAY_STORE_FOLLOWER_H_
 #define SRC_GATEWAY_STORE_FOLLOWER_H_
@@ -12,6 +14,7 @@
 #include "src/gateway/gateway_metrics.h"
 #include "src/gateway/gateway_ports.h"
 #include "src/gateway/http_client.h"
+#include "src/gateway/store_era.h"
 
 namespace filbertshift {
 
@@ -21,7 +24,7 @@
 class StoreFollowerListener {
  public:
   virtual ~StoreFollowerListener() = default;
-  virtual std::int64_t KnownVersion(StoreTable table) const = 0;
+  virtual StoreVersion KnownVersion(StoreTable table) const = 0;
   // Returns false if the snapshot was refused as older than the known contents.
   virtual bool OnTable(const TableSnapshot& snapshot) = 0;
   // The store does not have the changes after the known version.
@@ -46,6 +49,7 @@
                 HttpClient* client,
                 const StoreProtocol& protocol,
                 GatewayMetrics* metrics,
+                StoreEra* era,
                 StoreFollowerListener* listener);
   StoreFollower(const StoreFollower&) = delete;
   StoreFollower& operator=(const StoreFollower&) = delete;
@@ -57,6 +61,12 @@
     max_retry_delay_ = delay;
   }
   void SetChangesWait(std::chrono::milliseconds wait) { changes_wait_ = wait; }
+  // Delay before the table is listed in a new era.
+  void SetRelistDelay(std::chrono::milliseconds delay) {
+    relist_delay_ = delay;
+  }
+  // The era has risen: ends a wait for changes of the earlier one.
+  void OnEraRisen();
   // While paused, no new call starts; a call in progress completes.
   void SetPaused(bool paused);
 
@@ -69,6 +79,11 @@
 
  private:
   void Call();
+  // Whether the known contents are of an earlier era than the store.
+  bool IsOutdated() const;
+  // Returns false if the response must not be used; the next call is due then.
+  bool CheckEra();
+  void StartListing();
   void HandleResponse();
   void HandleListPage(RowsResponse response);
   void HandleChanges(const RowsResponse& response);
@@ -85,7 +100,9 @@
   HttpClient* const client_;
   const StoreProtocol& protocol_;
   GatewayMetrics* const metrics_;
+  StoreEra* const era_;
   StoreFollowerListener* const listener_;
+  std::chrono::milliseconds relist_delay_{0};
   bool paused_ = false;
   // A call became due while paused.
   bool call_due_ = false;
@@ -94,11 +111,12 @@
   // Pages listed so far.
   TableSnapshot pages_;
   CallId call_{};
+  bool calling_ = false;
   TimerId timeout_{};
   // Set while the next call waits for `min_interval_`.
   std::optional<TimerId> interval_timer_;
   TimePoint called_at_{};
-  int status_ = 0;
+  HttpResponseHead head_;
   std::string body_;
   int consecutive_errors_ = 0;
 };
--- a/src/gateway/store_writer.cc
+++ b/src/gateway/store_writer.cc
@@ -30,12 +30,14 @@
                          Transport* transport,
                          HttpClient* client,
                          const StoreProtocol& protocol,
-                         GatewayMetrics* metrics)
+                         GatewayMetrics* metrics,
+                         StoreEra* era)
     : store_address_(std::move(store_address)),
       transport_(transport),
       client_(client),
       protocol_(protocol),
-      metrics_(metrics) {}
+      metrics_(metrics),
+      era_(era) {}
 
 bool StoreWriter::Submit(StoreTransaction transaction, Done done) {
   if (queue_.size() >= kMaxQueuedWrites) {
@@ -49,9 +51,16 @@
 }
 
 void StoreWriter::Call() {
+  const StoreTransaction& transaction = queue_.front().transaction;
+  if (!transaction.expectations.empty() && transaction.era < era_->current()) {
+    // The expected versions may have been given out again, to other rows.
+    transport_->After(milliseconds(0),
+                      [this] { Complete(StoreWriteResult::kConflict); });
+    return;
+  }
   StoreRequest request =
       protocol_.TransactionRequest(queue_.front().transaction);
-  status_ = 0;
+  head_ = HttpResponseHead();
   call_ = client_->Start(store_address_,
                          SerializeRequestHead(request.head) + request.body,
                          kMaxIdle, this);
@@ -63,7 +72,7 @@
 
 HeadDecision StoreWriter::OnHead(CallId /*call*/,
                                  const HttpResponseHead& head) {
-  status_ = head.status;
+  head_ = head;
   return HeadDecision::kAccept;
 }
 
@@ -71,11 +80,14 @@
 
 void StoreWriter::OnComplete(CallId /*call*/) {
   transport_->Cancel(timeout_);
-  if (status_ == kStoreOk) {
+  if (!era_->Observe(head_)) {
+    // The store has lost what it wrote.
+    Complete(StoreWriteResult::kUnknown);
+  } else if (head_.status == kStoreOk) {
     Complete(StoreWriteResult::kCommitted);
   } else {
-    Complete(status_ == kStoreConflict ? StoreWriteResult::kConflict
-                                       : StoreWriteResult::kUnknown);
+    Complete(head_.status == kStoreConflict ? StoreWriteResult::kConflict
+                                            : StoreWriteResult::kUnknown);
   }
 }
 
--- a/src/gateway/store_writer.h
+++ b/src/gateway/store_writer.h
@@ -11,6 +11,7 @@
 #include "src/gateway/gateway_metrics.h"
 #include "src/gateway/gateway_ports.h"
 #include "src/gateway/http_client.h"
+#include "src/gateway/store_era.h"
 
 namespace filbertshift {
 
@@ -32,7 +33,8 @@
               Transport* transport,
               HttpClient* client,
               const StoreProtocol& protocol,
-              GatewayMetrics* metrics);
+              GatewayMetrics* metrics,
+              StoreEra* era);
   StoreWriter(const StoreWriter&) = delete;
   StoreWriter& operator=(const StoreWriter&) = delete;
 
@@ -61,11 +63,12 @@
   HttpClient* const client_;
   const StoreProtocol& protocol_;
   GatewayMetrics* const metrics_;
+  StoreEra* const era_;
   // The front element is in progress.
   std::deque<Write> queue_;
   CallId call_{};
   TimerId timeout_{};
-  int status_ = 0;
+  HttpResponseHead head_;
 };
 
 }  // namespace filbertshift
--- a/src/gateway/view_source.cc
+++ b/src/gateway/view_source.cc
@@ -39,6 +39,10 @@
 constexpr milliseconds kMaxRetryDelayInLargeFleet{3200};
 constexpr std::size_t kLargeFleet = 64;
 constexpr milliseconds kFruitlessLogInterval{1000};
+// Instances that are not readers list the tables of a store that has returned
+// within so much time.
+constexpr milliseconds kRelistWindowPerInstance{10};
+constexpr milliseconds kMaxRelistWindow{1200};
 
 }  // namespace
 
@@ -57,6 +61,7 @@
       view_(view),
       quarantine_(quarantine),
       log_(log),
+      era_(protocol, log, metrics),
       peer_reader_(transport, peer_client, this),
       relay_(settings.instance),
       // Instances start with different peers.
@@ -69,8 +74,13 @@
     followers_.push_back(std::make_unique<StoreFollower>(
         table, interval, ApplyTimeFraction(settings, kChangesWaitFraction),
         settings.store_address, transport, store_client, protocol, metrics,
-        this));
+        &era_, this));
   }
+  era_.SetListener([this] {
+    for (const std::unique_ptr<StoreFollower>& follower : followers_) {
+      follower->OnEraRisen();
+    }
+  });
 }
 
 void ViewSource::Start() {
@@ -122,6 +132,7 @@
   for (const std::unique_ptr<StoreFollower>& follower : followers_) {
     follower->SetChangesWait(wait);
     follower->SetMaxRetryDelay(MaxRetryDelay());
+    follower->SetRelistDelay(RelistDelay());
   }
 }
 
@@ -133,6 +144,19 @@
                                     : kMaxRetryDelayInLargeFleet;
 }
 
+milliseconds ViewSource::RelistDelay() const {
+  if (relay_.IsReader()) {
+    return milliseconds(0);
+  }
+  auto window =
+      std::min<std::size_t>(live_.size() * kRelistWindowPerInstance.count(),
+                            kMaxRelistWindow.count());
+  return milliseconds(
+      window == 0
+          ? 0
+          : std::hash<std::string>()(settings_.instance.value()) % window);
+}
+
 milliseconds ViewSource::ReaderEndpointInterval() const {
   return std::min(kMaxReaderEndpointInterval, settings_.endpoint_poll_interval);
 }
@@ -247,24 +271,25 @@
   return source;
 }
 
-std::int64_t ViewSource::KnownVersion(StoreTable table) const {
+StoreVersion ViewSource::KnownVersion(StoreTable table) const {
   return view_->as_of(table);
 }
 
 bool ViewSource::OnTable(const TableSnapshot& snapshot) {
-  std::int64_t known = view_->as_of(snapshot.table);
+  StoreVersion known = view_->as_of(snapshot.table);
   if (view_->ReplaceTable(snapshot, RowSource::kStore, transport_->Now())) {
     return true;
   }
-  LogFruitlessRead(EventId::kStoreSnapshotRefused, snapshot.table,
-                   fmt::format("as_of={} known={} rows={}", snapshot.as_of,
-                               known, snapshot.rows.size()));
+  LogFruitlessRead(
+      EventId::kStoreSnapshotRefused, snapshot.table,
+      fmt::format("era={} as_of={} known={} rows={}", snapshot.as_of.era,
+                  snapshot.as_of.number, known.number, snapshot.rows.size()));
   return false;
 }
 
 void ViewSource::OnHistoryLost(StoreTable table) {
   LogFruitlessRead(EventId::kStoreHistoryLost, table,
-                   fmt::format("after={}", view_->as_of(table)));
+                   fmt::format("after={}", view_->as_of(table).number));
 }
 
 void ViewSource::LogFruitlessRead(EventId event,
@@ -318,15 +343,25 @@
       settings_.instance_poll_interval + wait + kMaxExtraAge};
   for (const PeerTable& entry : view.tables) {
     StoreTable table = entry.changes.table;
+    if (!IsCurrentEra(entry)) {
+      return fmt::format("table={} era={} known_era={}", StoreTableName(table),
+                         entry.changes.as_of.era, era_.current());
+    }
     if (entry.age > limits[static_cast<int>(table)]) {
       return fmt::format("table={} age_ms={} as_of={} known={}",
                          StoreTableName(table), entry.age.count(),
-                         entry.changes.as_of, view_->as_of(table));
+                         entry.changes.as_of.number,
+                         view_->as_of(table).number);
     }
   }
   return std::string();
 }
 
+bool ViewSource::IsCurrentEra(const PeerTable& table) const {
+  return table.names_era ? table.changes.as_of.era >= era_.current()
+                         : !era_.has_risen();
+}
+
 void ViewSource::AbandonReader(std::string_view reason) {
   log_->Write(EventId::kPeerViewFailed,
               fmt::format("peer={} {}", reader_->peer_address, reason));
@@ -353,14 +388,23 @@
       OnStoreTime(*view.source.store_time);
     }
   }
-  for (const PeerTable& table : view.tables) {
-    std::int64_t known = view_->as_of(table.changes.table);
+  for (PeerTable table : view.tables) {
+    if (!IsCurrentEra(table)) {
+      continue;
+    }
+    std::int64_t known = view_->as_of(table.changes.table).number;
+    if (table.names_era) {
+      era_.Observe(table.changes.as_of.era);
+    } else {
+      table.changes.as_of.era = era_.current();
+    }
     bool newer = view_->ApplyPeerChanges(table.changes, now - table.age);
     if (newer && !from_reader) {
-      log_->Write(EventId::kPeerViewTaken,
-                  fmt::format("peer={} table={} from={} to={} age_ms={}",
-                              address, StoreTableName(table.changes.table),
-                              known, table.changes.as_of, table.age.count()));
+      log_->Write(
+          EventId::kPeerViewTaken,
+          fmt::format("peer={} table={} from={} to={} age_ms={}", address,
+                      StoreTableName(table.changes.table), known,
+                      table.changes.as_of.number, table.age.count()));
     }
   }
 }
--- a/src/gateway/view_source.h
+++ b/src/gateway/view_source.h
@@ -61,13 +61,15 @@
   // Peer address of the instance whose view is read; not set if it is the
   // store's.
   std::optional<std::string> ReaderAddress() const;
+  StoreEra* store_era() { return &era_; }
+  const StoreEra& store_era() const { return era_; }
   // All live instances as of the latest step.
   const std::vector<LiveInstance>& live() const { return live_; }
 
   PeerSource Source() const override;
 
   // StoreFollowerListener and PeerReaderListener:
-  std::int64_t KnownVersion(StoreTable table) const override;
+  StoreVersion KnownVersion(StoreTable table) const override;
   bool OnTable(const TableSnapshot& snapshot) override;
   void OnHistoryLost(StoreTable table) override;
   void OnChanges(StoreTable table, const RowsResponse& response) override;
@@ -82,11 +84,17 @@
   void UpdatePollIntervals(bool rollout);
   std::chrono::milliseconds ReaderEndpointInterval() const;
   std::chrono::milliseconds MaxRetryDelay() const;
+  // Delay before this instance lists the tables of a store that has returned,
+  // so that not all instances call it at once.
+  std::chrono::milliseconds RelistDelay() const;
   void ReadPeer();
   void ReadStandbyPeer(TimePoint now);
   bool IsStale() const;
   // Returns why the peer's view cannot replace the store; empty if it can.
   std::string UnfitReason(const PeerView& view) const;
+  // Whether the table can be compared with this instance's. Instances of
+  // earlier versions name no era, and follow none.
+  bool IsCurrentEra(const PeerTable& table) const;
   void AbandonReader(std::string_view reason);
   // Logs a read of the store that led to no change, at most once a second for
   // each table.
@@ -99,6 +107,7 @@
   FleetView* const view_;
   PromptQuarantine* const quarantine_;
   EventLog* const log_;
+  StoreEra era_;
   PeerReader peer_reader_;
   // In the order of StoreTable.
   std::vector<std::unique_ptr<StoreFollower>> followers_;
--- a/tests/unit/fleet/fleet_view_test.cc
+++ b/tests/unit/fleet/fleet_view_test.cc
@@ -45,8 +45,8 @@
            const std::string& value,
            std::int64_t version,
            RowSource source = RowSource::kStore) {
-    view.ApplyChanges(table, {{key, value, version, value.empty()}}, version,
-                      source, now);
+    view.ApplyChanges(table, {{key, value, version, value.empty()}},
+                      {0, version}, source, now);
   }
   DocumentDecoder documents;
   CountingLog log;
@@ -74,7 +74,7 @@
   CHECK(f.listener.version == 5);
   f.Put(StoreTable::kOperator, "config", Configuration(4), 11);
   CHECK(f.view.configuration()->version == 5);
-  CHECK_FALSE(f.view.ReplaceTable({StoreTable::kOperator, 3, {}},
+  CHECK_FALSE(f.view.ReplaceTable({StoreTable::kOperator, {0, 3}, {}},
                                   RowSource::kPeer, f.now));
   CHECK(f.view.configuration()->version == 5);
   f.Put(StoreTable::kOperator, "config", "{\"version\":", 12);
@@ -117,7 +117,8 @@
   Fixture f;
   f.Put(StoreTable::kEndpoints, "e1", Endpoint("ready"), 1);
   f.view.OnStoreFailure(f.now);
-  f.view.ReplaceTable({StoreTable::kEndpoints, 2, {}}, RowSource::kPeer, f.now);
+  f.view.ReplaceTable({StoreTable::kEndpoints, {0, 2}, {}}, RowSource::kPeer,
+                      f.now);
   CHECK(f.view.endpoints().empty());
 }
 
@@ -162,29 +163,29 @@
 TEST_CASE("another instance is told what has changed", "[fleet]") {
   Fixture f;
   f.view.ReplaceTable({StoreTable::kEndpoints,
-                       10,
+                       {0, 10},
                        {{"e1", Endpoint("ready"), 3, false},
                         {"e2", Endpoint("ready"), 4, false}}},
                       RowSource::kStore, f.now);
   f.Put(StoreTable::kEndpoints, "e1", Endpoint("ready"), 11);
-  TableChanges changes = f.view.ChangesSince(StoreTable::kEndpoints, 10);
+  TableChanges changes = f.view.ChangesSince(StoreTable::kEndpoints, {0, 10});
   CHECK_FALSE(changes.full_table);
-  CHECK(changes.as_of == 11);
+  CHECK(changes.as_of == StoreVersion{0, 11});
   CHECK(changes.rows.empty());
   f.Put(StoreTable::kEndpoints, "e1", Endpoint("draining"), 12);
   f.Put(StoreTable::kEndpoints, "e2", "", 13);
-  changes = f.view.ChangesSince(StoreTable::kEndpoints, 11);
+  changes = f.view.ChangesSince(StoreTable::kEndpoints, {0, 11});
   REQUIRE(changes.rows.size() == 2);
-  CHECK(f.view.ChangesSince(StoreTable::kEndpoints, 12).rows.size() == 1);
+  CHECK(f.view.ChangesSince(StoreTable::kEndpoints, {0, 12}).rows.size() == 1);
   // Version 9 precedes the first read of the table, so the complete table is
   // returned.
-  CHECK(f.view.ChangesSince(StoreTable::kEndpoints, 9).full_table);
+  CHECK(f.view.ChangesSince(StoreTable::kEndpoints, {0, 9}).full_table);
 
   Fixture other;
   other.Put(StoreTable::kEndpoints, "e1", Endpoint("ready"), 3);
   other.Put(StoreTable::kEndpoints, "e2", Endpoint("ready"), 11);
   CHECK(other.view.ApplyPeerChanges(changes, other.now));
-  CHECK(other.view.as_of(StoreTable::kEndpoints) == 13);
+  CHECK(other.view.as_of(StoreTable::kEndpoints) == StoreVersion{0, 13});
   CHECK(other.view.endpoints().count(EndpointId("e2")) == 0);
   CHECK(other.view.endpoints().at(EndpointId("e1")).state ==
         EndpointState::kDraining);
@@ -200,7 +201,7 @@
   f.Put(StoreTable::kEndpoints, "e1", "", 2);
   CHECK(f.view.endpoints().size() == 1);
   f.Put(StoreTable::kEndpoints, "e1", Endpoint("ready"), 3);
-  TableChanges changes = f.view.ChangesSince(StoreTable::kEndpoints, 2);
+  TableChanges changes = f.view.ChangesSince(StoreTable::kEndpoints, {0, 2});
   REQUIRE(changes.rows.size() == 1);
   CHECK_FALSE(changes.rows.front().removed);
 }
@@ -218,8 +219,8 @@
     std::map<std::string, StoreRow> store;
     std::vector<StoreRow> unread;
     std::int64_t version = 0;
-    reader.view.ReplaceTable({StoreTable::kEndpoints, 0, {}}, RowSource::kStore,
-                             reader.now);
+    reader.view.ReplaceTable({StoreTable::kEndpoints, {}, {}},
+                             RowSource::kStore, reader.now);
     for (int step = 0; step < 300; ++step) {
       std::string key = "e" + std::to_string(random() % 6);
       StoreRow row{key, Endpoint(random() % 4 == 0 ? "draining" : "ready"),
@@ -231,11 +232,11 @@
       }
       unread.push_back(row);
       if (random() % 3 == 0) {
-        reader.view.ApplyChanges(StoreTable::kEndpoints, unread, version,
+        reader.view.ApplyChanges(StoreTable::kEndpoints, unread, {0, version},
                                  RowSource::kStore, reader.now);
         unread.clear();
       } else if (random() % 20 == 0) {
-        TableSnapshot listed{StoreTable::kEndpoints, version, {}};
+        TableSnapshot listed{StoreTable::kEndpoints, {0, version}, {}};
         for (const auto& entry : store) {
           listed.rows.push_back(entry.second);
         }
--- a/tests/unit/fleet/odd_row_test.cc
+++ b/tests/unit/fleet/odd_row_test.cc
@@ -42,7 +42,7 @@
   void Put(StoreTable table,
            const std::vector<StoreRow>& rows,
            std::int64_t as_of) {
-    view.ApplyChanges(table, rows, as_of, RowSource::kStore, now);
+    view.ApplyChanges(table, rows, {0, as_of}, RowSource::kStore, now);
   }
   std::vector<std::string> Endpoints() const {
     std::vector<std::string> ids;
@@ -153,7 +153,7 @@
            {"e3", Good(3), 3, false}},
           3);
     CHECK(f.Endpoints() == std::vector<std::string>{"e1", "e3"});
-    CHECK(f.view.as_of(StoreTable::kEndpoints) == 3);
+    CHECK(f.view.as_of(StoreTable::kEndpoints) == StoreVersion{0, 3});
     CHECK(f.Findings() == 1);
     f.Put(StoreTable::kEndpoints, {{"e2", odd, 2, false}}, 4);
     CHECK(f.Findings() == 1);
@@ -238,14 +238,14 @@
   CHECK(f.log.latest == fmt::format("findings={}", 3 * kRows - f.Findings()));
   PeerView message;
   message.tables.push_back(
-      {f.view.ChangesSince(StoreTable::kEndpoints, -1), milliseconds(0)});
+      {f.view.ChangesSince(StoreTable::kEndpoints, {0, -1}), milliseconds(0)});
   std::string bytes = EncodePeerView(message);
   CHECK(bytes.size() < std::size_t{1024} * 1024);
   PeerView received = DecodePeerView(bytes);
   Fixture peer;
   CHECK(peer.view.ApplyPeerChanges(received.tables.at(0).changes, peer.now));
   CHECK(peer.Endpoints() == std::vector<std::string>{"e1"});
-  CHECK(peer.view.as_of(StoreTable::kEndpoints) == 100000);
+  CHECK(peer.view.as_of(StoreTable::kEndpoints) == StoreVersion{0, 100000});
 }
 
 // Guards against log lines as large as the row.
@@ -322,7 +322,7 @@
                             R"("incarnation":1,"kept_sessions":)" +
                             part + "}")
               .has_value());
-      expect_none("progress", DecodeRolloutProgress(part).has_value());
+      expect_none("progress", DecodeRolloutProgress(part, 0).has_value());
       expect_error("rows", [&] {
         RowProtocol("127.0.0.1:1")
             .DecodeRows(R"({"row_version":1,"now_ms":1,"rows":[],"x":)" + part +
@@ -416,7 +416,8 @@
             fmt::format(R"({{"order_version":1,"to":"v","started_at_ms":1,)"
                         R"("changed_at_ms":1,"exposure_permille":{},)"
                         R"("state":0}})",
-                        number))
+                        number),
+            0)
             .has_value());
   }
 }
--- a/tests/unit/fleet/rollout_driver_test.cc
+++ b/tests/unit/fleet/rollout_driver_test.cc
@@ -15,7 +15,7 @@
 
 RolloutInputs Inputs(milliseconds deadline) {
   RolloutInputs inputs;
-  inputs.order = {ServiceId("s"), VersionId("v2"), deadline, 7};
+  inputs.order = {ServiceId("s"), VersionId("v2"), deadline, {0, 7}};
   inputs.candidate_endpoints = 3;
   return inputs;
 }
@@ -300,8 +300,9 @@
 // Guards against a load test that moves sessions back and forth.
 TEST_CASE("a load test takes requests without a session only", "[dispatch]") {
   TimePoint now{std::chrono::hours(1)};
-  RolloutOrder order{ServiceId("s"), VersionId("v2"), milliseconds(20000), 7};
-  RolloutProgress progress{7,
+  RolloutOrder order{
+      ServiceId("s"), VersionId("v2"), milliseconds(20000), {0, 7}};
+  RolloutProgress progress{{0, 7},
                            VersionId("v2"),
                            milliseconds(100),
                            milliseconds(100),
@@ -328,7 +329,7 @@
   CHECK(
       policy.RuleFor(&order, &progress, session, now + milliseconds(500), false)
           .max_endpoints == 1);
-  policy.Stop(ServiceId("s"), 7);
+  policy.Stop(ServiceId("s"), {0, 7});
   CHECK_FALSE(allows_candidate(false, milliseconds(500)));
 }
 
@@ -343,7 +344,7 @@
   inputs.verdict = CandidateVerdict::kGood;
   inputs.store_now = milliseconds(19000);
   CHECK_FALSE(NextRolloutProgress(inputs).has_value());
-  inputs.order.order_version = 8;  // Ordered again.
+  inputs.order.order_version = {0, 8};  // Ordered again.
   CHECK(NextRolloutProgress(inputs).has_value());
 }
 
@@ -386,17 +387,17 @@
 
 TEST_CASE("progress rows are read back", "[fleet]") {
   RolloutProgress progress{
-      7,   VersionId("v2"),         milliseconds(5), milliseconds(9),
-      300, RolloutPhase::kReverted, std::nullopt};
-  auto read = DecodeRolloutProgress(EncodeRolloutProgress(progress));
+      {0, 7}, VersionId("v2"),         milliseconds(5), milliseconds(9),
+      300,    RolloutPhase::kReverted, std::nullopt};
+  auto read = DecodeRolloutProgress(EncodeRolloutProgress(progress), 0);
   REQUIRE(read.has_value());
   CHECK(*read == progress);
   progress.load_test = {milliseconds(5), milliseconds(900), 140, 2};
-  read = DecodeRolloutProgress(EncodeRolloutProgress(progress));
+  read = DecodeRolloutProgress(EncodeRolloutProgress(progress), 0);
   REQUIRE(read.has_value());
   CHECK(*read == progress);
-  CHECK_FALSE(DecodeRolloutProgress("{\"state\":0}").has_value());
-  CHECK_FALSE(DecodeRolloutProgress("\xff").has_value());
+  CHECK_FALSE(DecodeRolloutProgress("{\"state\":0}", 0).has_value());
+  CHECK_FALSE(DecodeRolloutProgress("\xff", 0).has_value());
 }
 
 // Simulates responses until the candidate gets a bad verdict. Returns the
@@ -474,8 +475,9 @@
 // including on an instance that has not served them before.
 TEST_CASE("sessions in use keep their version", "[dispatch]") {
   TimePoint now{std::chrono::hours(1)};
-  RolloutOrder order{ServiceId("s"), VersionId("v2"), milliseconds(20000), 7};
-  RolloutProgress progress{7,
+  RolloutOrder order{
+      ServiceId("s"), VersionId("v2"), milliseconds(20000), {0, 7}};
+  RolloutProgress progress{{0, 7},
                            VersionId("v2"),
                            milliseconds(100),
                            milliseconds(100),
@@ -506,8 +508,9 @@
 // takes longer than the retention time.
 TEST_CASE("a session is in use while a request runs", "[dispatch]") {
   TimePoint now{std::chrono::hours(1)};
-  RolloutOrder order{ServiceId("s"), VersionId("v2"), milliseconds(20000), 7};
-  RolloutProgress progress{7,
+  RolloutOrder order{
+      ServiceId("s"), VersionId("v2"), milliseconds(20000), {0, 7}};
+  RolloutProgress progress{{0, 7},
                            VersionId("v2"),
                            milliseconds(100),
                            milliseconds(2100),
@@ -536,10 +539,11 @@
 
 TEST_CASE("a stopped or reverted version gets nothing", "[dispatch]") {
   TimePoint now{std::chrono::hours(1)};
-  RolloutOrder order{ServiceId("s"), VersionId("v2"), milliseconds(20000), 7};
+  RolloutOrder order{
+      ServiceId("s"), VersionId("v2"), milliseconds(20000), {0, 7}};
   RolloutProgress progress{
-      7,    VersionId("v2"),          milliseconds(100), milliseconds(100),
-      1000, RolloutPhase::kInProgress};
+      {0, 7}, VersionId("v2"),          milliseconds(100), milliseconds(100),
+      1000,   RolloutPhase::kInProgress};
   VersionPolicy policy(milliseconds(5000));
   CHECK(policy.RuleFor(&order, &progress, "x", now).Allows(VersionId("v2")));
   CHECK_FALSE(
@@ -548,7 +552,7 @@
   CHECK_FALSE(
       policy.RuleFor(&order, &progress, "x", now).Allows(VersionId("v2")));
   progress.state = RolloutPhase::kInProgress;
-  policy.Stop(ServiceId("s"), 7);
+  policy.Stop(ServiceId("s"), {0, 7});
   CHECK_FALSE(
       policy.RuleFor(&order, &progress, "x", now).Allows(VersionId("v2")));
   progress.state = RolloutPhase::kCompleted;
--- a/tests/unit/gateway/endpoint_notices_test.cc
+++ b/tests/unit/gateway/endpoint_notices_test.cc
@@ -42,12 +42,12 @@
               R"("sequence":1,"born":{}}})",
               place, ++slots_, born),
           version_, false}},
-        version_, RowSource::kStore, transport.Now());
+        {0, version_}, RowSource::kStore, transport.Now());
   }
   void RemoveRow(const std::string& id) {
     ++version_;
     view.ApplyChanges(StoreTable::kEndpoints, {{id, "", version_, true}},
-                      version_, RowSource::kStore, transport.Now());
+                      {0, version_}, RowSource::kStore, transport.Now());
   }
   std::string NextId() { return fmt::format("n{}", ++requests_); }
   // Sends a request on a route that may be repeated and returns its arrival.
--- a/tests/unit/gateway/forwarder_fixture.cc
+++ b/tests/unit/gateway/forwarder_fixture.cc
@@ -67,7 +67,7 @@
       R"("state":"ready","cold_remaining_ms":0,"sequence":1}})",
       address);
   view.ApplyChanges(StoreTable::kEndpoints, {{id, text, 10 + number, false}},
-                    10 + number, RowSource::kStore, transport.Now());
+                    {0, 10 + number}, RowSource::kStore, transport.Now());
 }
 
 void ForwarderFixture::RestartEndpoint(int number) {
@@ -79,7 +79,7 @@
   constexpr int kRowVersion = 100;
   view.ApplyChanges(StoreTable::kEndpoints,
                     {{fmt::format("e{}", number), text, kRowVersion, false}},
-                    kRowVersion, RowSource::kStore, transport.Now());
+                    {0, kRowVersion}, RowSource::kStore, transport.Now());
 }
 
 void ForwarderFixture::ApplyConfiguration(int version) {
@@ -87,12 +87,12 @@
   text.replace(text.find("\"version\":3"), 11,
                fmt::format("\"version\":{}", version));
   view.ApplyChanges(StoreTable::kOperator, {{"config", text, version, false}},
-                    version, RowSource::kStore, transport.Now());
+                    {0, version}, RowSource::kStore, transport.Now());
 }
 
 void ForwarderFixture::RemoveRecord(const std::string& endpoint) {
-  view.ApplyChanges(StoreTable::kEndpoints, {{endpoint, "", 1000, true}}, 1000,
-                    RowSource::kStore, transport.Now());
+  view.ApplyChanges(StoreTable::kEndpoints, {{endpoint, "", 1000, true}},
+                    {0, 1000}, RowSource::kStore, transport.Now());
 }
 
 std::string ForwarderFixture::AddressOf(const std::string& endpoint) const {
--- a/tests/unit/gateway/row_protocol_test.cc
+++ b/tests/unit/gateway/row_protocol_test.cc
@@ -28,7 +28,7 @@
     CHECK(response.rows[0].value == "A");
     CHECK(response.rows[1].value.empty());
     CHECK(response.rows[2].value == "AB");
-    CHECK(response.as_of == 4);
+    CHECK(response.as_of.number == 4);
   }
 }
 
--- a/tests/unit/gateway/stand_ins.cc
+++ b/tests/unit/gateway/stand_ins.cc
@@ -259,6 +259,11 @@
   response.headers.Add("Filbertshift-Attempt-Id",
                        *head.headers.Find("Filbertshift-Attempt-Id"));
   response.headers.Add("Filbertshift-Response-Seal", "seal-" + id_);
+  if (failing_) {
+    response.status = 500;
+    server_.Respond(caller, response, "failed");
+    return;
+  }
   if (head.target.rfind("/stream/", 0) != 0) {
     server_.Respond(caller, response, head.target + " " + body);
     return;
--- a/tests/unit/gateway/stand_ins.h
+++ b/tests/unit/gateway/stand_ins.h
@@ -100,6 +100,8 @@
   StandInWorker(Transport* transport, std::string id);
   AcceptListener* listener() { return &server_; }
   int runs() const { return runs_; }
+  // While true, every run ends with status 500.
+  void SetFailing(bool failing) { failing_ = failing; }
   // Aborts the next stream after its first event.
   void BreakNextStream() { break_next_ = true; }
 
@@ -113,6 +115,7 @@
   const std::string id_;
   CallerServer server_;
   int runs_ = 0;
+  bool failing_ = false;
   bool break_next_ = false;
 };
 
--- a/tests/unit/gateway/store_return_test.cc
+++ b/tests/unit/gateway/store_return_test.cc
@@ -263,6 +263,124 @@
   CHECK(site.Runs("e1") == runs);
 }
 
+// A rollout of version v2, with endpoints of both versions and steady traffic.
+struct RolloutSite : Site {
+  RolloutSite() {
+    for (const char* id : {"n1", "n2"}) {
+      AddEndpoint(id).version = "v2";
+      Register(id);
+    }
+    Run(seconds(2));
+  }
+  void Order() {
+    store.Put("op", "rollout/s",
+              R"({"service":"s","to":"v2","deadline_s":12})");
+  }
+  // Sends about 80 requests a second for so long.
+  void Serve(milliseconds time) {
+    TimePoint end = network.now() + time;
+    while (network.now() < end) {
+      GetFromAll("a", 1);
+    }
+  }
+  int CandidateRuns() { return Runs("n1") + Runs("n2"); }
+};
+
+TEST_CASE("a completed rollout stays completed when the store returns",
+          "[gateway]") {
+  RolloutSite site;
+  bool order_lost = GENERATE(true, false);
+  StandInStore::Copy copy = site.store.SaveCopy();
+  site.Order();
+  site.Serve(seconds(4));
+  REQUIRE(site.RolloutStatus() == "in_progress");
+  if (!order_lost) {
+    copy = site.store.SaveCopy();
+  }
+  for (int i = 0; i < 15 && site.RolloutStatus() != "completed"; ++i) {
+    site.Serve(seconds(1));
+  }
+  REQUIRE(site.RolloutStatus() == "completed");
+  site.Deregister("e1");
+  site.Deregister("e2");
+  site.Serve(seconds(2));
+  site.Return(copy);
+  int old_runs = site.Runs("e1") + site.Runs("e2");
+  site.Serve(milliseconds(600));
+  site.Order();
+  bool restarted = GENERATE(false, true);
+  if (restarted) {
+    site.StopInstance("i2");
+    site.StartInstance("i2");
+  }
+  for (int i = 0; i < 20; ++i) {
+    site.Serve(milliseconds(500));
+    REQUIRE(site.RolloutStatus() != "reverted");
+    REQUIRE((i < 8 || site.RolloutStatus() == "completed"));
+  }
+  CHECK(site.GetFromAll("a", 3) == Statuses{{200, 3 * kInstances}});
+  CHECK(site.Runs("e1") + site.Runs("e2") == old_runs);
+  int written = site.store.transactions();
+  site.Run(seconds(6));
+  // Only the heartbeats of the instances are written any more.
+  CHECK(site.store.transactions() - written <= 2 * kInstances);
+}
+
+TEST_CASE("a version that was stopped gets no requests when the store returns",
+          "[gateway]") {
+  RolloutSite site;
+  for (const char* id : {"n1", "n2"}) {
+    site.endpoints.at(id).worker->SetFailing(true);
+  }
+  site.Order();
+  site.Serve(seconds(3));
+  REQUIRE(site.RolloutStatus() == "in_progress");
+  StandInStore::Copy copy = site.store.SaveCopy();
+  for (int i = 0; i < 15 && site.RolloutStatus() != "reverted"; ++i) {
+    site.Serve(seconds(1));
+  }
+  REQUIRE(site.RolloutStatus() == "reverted");
+  int runs = site.CandidateRuns();
+  site.Return(copy);
+  site.Serve(milliseconds(600));
+  site.Order();
+  for (int i = 0; i < 20; ++i) {
+    site.Serve(milliseconds(500));
+    REQUIRE((i < 8 || site.RolloutStatus() == "reverted"));
+  }
+  CHECK(site.CandidateRuns() == runs);
+  // The operator orders the version once more, mended.
+  for (const char* id : {"n1", "n2"}) {
+    site.endpoints.at(id).worker->SetFailing(false);
+  }
+  site.Order();
+  site.Serve(seconds(16));
+  CHECK(site.RolloutStatus() == "completed");
+}
+
+// All instances list all tables anew; the store allows them 2,000 reads a
+// second together.
+TEST_CASE("calls to a store that returned are spread out", "[gateway]") {
+  constexpr int kMany = 118;
+  Site site(kMany);
+  StandInStore::Copy copy = site.store.SaveCopy();
+  site.Run(seconds(5));
+  site.Return(copy);
+  int peak = 0;
+  int total = 0;
+  for (int i = 0; i < 8; ++i) {
+    int before = site.store.reads();
+    site.Run(seconds(1));
+    total += site.store.reads() - before;
+    peak = std::max(peak, site.store.reads() - before);
+  }
+  UNSCOPED_INFO("reads in 8 s: " << total << ", most in one second: " << peak);
+  CHECK(peak < 1000);
+  site.PutConfiguration(20, {"a", "b"}, {"k1"});
+  site.Run(seconds(2));
+  CHECK(site.GetFromAll("b", 1) == Statuses{{200, kMany}});
+}
+
 TEST_CASE("a store that returns without a new era is not called without end",
           "[gateway]") {
   Site site;
--- a/tests/unit/gateway/view_source_test.cc
+++ b/tests/unit/gateway/view_source_test.cc
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <nlohmann/json.hpp>
+
 #include "platform/platform.h"
 #include "src/gateway/gateway.h"
 #include "tests/unit/gateway/forwarder_fixture.h"
@@ -24,9 +26,23 @@
   void OnEndpointRemoved(const EndpointId&) override {}
 };
 
-std::string OkResponse(const std::string& body) {
-  return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
-                     body.size(), body);
+// `fields`: further lines of the head.
+std::string OkResponse(const std::string& body,
+                       const std::string& fields = std::string()) {
+  return fmt::format("HTTP/1.1 200 OK\r\n{}Content-Length: {}\r\n\r\n{}",
+                     fields, body.size(), body);
+}
+
+// The message that an instance of an earlier version sends, which knows of no
+// eras.
+std::string EncodeWithoutEras(const PeerView& view) {
+  nlohmann::json message = nlohmann::json::from_msgpack(EncodePeerView(view));
+  for (nlohmann::json& table : message.at(2)) {
+    table.erase(6);
+    table.erase(5);
+  }
+  std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(message);
+  return std::string(bytes.begin(), bytes.end());
 }
 
 // One instance; the test acts as its store and its peer.
@@ -77,15 +93,20 @@
   }
 
   // Answers all pending store calls without rows. Returns their number.
-  int AnswerStore(std::int64_t version) {
+  int AnswerStore(std::int64_t version,
+                  std::optional<std::int64_t> era = std::nullopt) {
+    std::string fields =
+        era.has_value() ? fmt::format("Store-Era: {}\r\n", *era) : "";
     int calls = 0;
     for (ConnectionId connection : transport.OpenTo(kStore)) {
       if (!transport.TakeSent(connection).empty()) {
         ++calls;
         transport.Receive(
             connection,
-            OkResponse(fmt::format(
-                R"({{"rows":[],"row_version":{},"now_ms":1}})", version)));
+            OkResponse(
+                fmt::format(R"({{"rows":[],"row_version":{},"now_ms":1}})",
+                            version),
+                fields));
       }
     }
     return calls;
@@ -93,9 +114,12 @@
 
   // Answers a pending read of the peer's view. Returns false if there is none.
   bool AnswerPeer(const PeerView& peer_view) {
+    return AnswerPeer(EncodePeerView(peer_view));
+  }
+  bool AnswerPeer(const std::string& message) {
     for (ConnectionId connection : transport.OpenTo(reader.peer_address)) {
       if (!transport.TakeSent(connection).empty()) {
-        transport.Receive(connection, OkResponse(EncodePeerView(peer_view)));
+        transport.Receive(connection, OkResponse(message));
         return true;
       }
     }
@@ -107,8 +131,9 @@
     view.source.reads_store = true;
     view.source.store_time = milliseconds(1000);
     for (int i = 0; i < kStoreTableCount; ++i) {
-      view.tables.push_back({{static_cast<StoreTable>(i), version, false, {}},
-                             milliseconds(200)});
+      view.tables.push_back(
+          {{static_cast<StoreTable>(i), {0, version}, false, {}},
+           milliseconds(200)});
     }
     return view;
   }
@@ -156,7 +181,7 @@
   }
   CHECK(store_calls == 0);
   CHECK(f.view.IsEvacuated(DataCentreId("z")));
-  CHECK(f.view.as_of(StoreTable::kOperator) == 9);
+  CHECK(f.view.as_of(StoreTable::kOperator) == StoreVersion{0, 9});
   CHECK(f.transport.Now() - f.view.confirmed_at(StoreTable::kOperator) <
         milliseconds(700));
 }
@@ -193,7 +218,7 @@
   }
   f.Step(800);
   CHECK(f.AnswerStore(6) == kStoreTableCount);
-  CHECK(f.view.as_of(StoreTable::kOperator) == 6);
+  CHECK(f.view.as_of(StoreTable::kOperator) == StoreVersion{0, 6});
 }
 
 // Guards against dropping a record that expired only in the view of a peer with
@@ -216,10 +241,79 @@
   f.Step(300);
   REQUIRE(f.AnswerPeer(unfit_view));
   CHECK(f.view.endpoints().size() == 1);
-  f.view.ReplaceTable({StoreTable::kEndpoints, 9, {}}, RowSource::kStore,
+  f.view.ReplaceTable({StoreTable::kEndpoints, {0, 9}, {}}, RowSource::kStore,
                       f.transport.Now());
   CHECK(f.view.endpoints().empty());
 }
 
+// Guards against the lost history of the store, which an instance that has
+// missed its return would give to all others for good.
+TEST_CASE("a view of an earlier era replaces nothing", "[gateway]") {
+  Fixture f;
+  std::vector<LiveInstance> all = f.live;
+  f.live.resize(1);
+  for (std::int64_t era : {2, 3}) {
+    for (int i = 0; i < 10; ++i) {
+      f.Step(100);
+      f.AnswerStore(era == 2 ? 50 : 3, era);
+    }
+  }
+  f.live = all;
+  REQUIRE(f.view.as_of(StoreTable::kOperator) == StoreVersion{3, 3});
+  PeerView behind = Fixture::Current(90);
+  behind.tables[0].changes.rows = {{"evacuate/z", "{}", 90, false}};
+  bool names_era = GENERATE(true, false);
+  for (PeerTable& table : behind.tables) {
+    table.changes.as_of.era = 2;
+    table.changes.full_table = true;
+  }
+  for (int i = 0; i < 30; ++i) {
+    f.Step(100);
+    f.AnswerStore(3, 3);
+    f.AnswerPeer(names_era ? EncodePeerView(behind)
+                           : EncodeWithoutEras(behind));
+  }
+  CHECK_FALSE(f.view.IsEvacuated(DataCentreId("z")));
+  CHECK(f.view.as_of(StoreTable::kOperator) == StoreVersion{3, 3});
+}
+
+TEST_CASE("instances without eras are read until the store returns",
+          "[gateway]") {
+  Fixture f;
+  f.SwitchToPeer();
+  PeerView changed = Fixture::Current(9);
+  changed.tables[0].changes.rows = {{"evacuate/z", "{}", 9, false}};
+  f.Step(300);
+  REQUIRE(f.AnswerPeer(EncodeWithoutEras(changed)));
+  CHECK(f.view.IsEvacuated(DataCentreId("z")));
+}
+
+TEST_CASE("answers of the store name its era", "[gateway]") {
+  NullEventLog log;
+  GatewayMetrics metrics;
+  RowProtocol protocol(kStore);
+  StoreEra era(protocol, &log, &metrics);
+  int rises = 0;
+  era.SetListener([&rises] { ++rises; });
+  auto observe = [&era](const std::string& value) {
+    HttpResponseHead head{200, "OK", {}};
+    head.headers.Add("Store-Era", value);
+    return era.Observe(head);
+  };
+  CHECK(era.Observe(HttpResponseHead{200, "OK", {}}));
+  CHECK(era.current() == 0);
+  CHECK(observe("4"));
+  CHECK(rises == 0);
+  CHECK(observe("5"));
+  CHECK(rises == 1);
+  CHECK_FALSE(observe("4"));
+  for (const char* unreadable :
+       {"", "x", "-6", "6.5", "6 7", "6x", "99999999999999999999"}) {
+    CHECK(observe(unreadable));
+  }
+  CHECK(era.current() == 5);
+  CHECK(rises == 1);
+}
+
 }  // namespace
 }  // namespace filbertshift
