Take no answer of an earlier version for a confirmation

FleetView counted any answer as a confirmation that the table is current, also one whose version was below the known one. A stale answer then hid that changes were missing: the age of the table stayed small, so no peer was asked and no peer complained.

Test: red before (confirmed by an answer as of version 9 with 10 known), green after.

--- a/src/fleet/fleet_view.cc
+++ b/src/fleet/fleet_view.cc
@@ -52,7 +52,10 @@
   for (const StoreRow& row : rows) {
     Apply(table, row, source, now);
   }
-  known.as_of = std::max(known.as_of, as_of);
+  if (as_of < known.as_of) {
+    return;
+  }
+  known.as_of = as_of;
   known.confirmed_at = std::max(known.confirmed_at, now);
   if (table == StoreTable::kInstances) {
     AdvanceMemberClock(now);
--- a/tests/unit/fleet/fleet_view_test.cc
+++ b/tests/unit/fleet/fleet_view_test.cc
@@ -206,6 +206,20 @@
   CHECK_FALSE(changes.rows.front().removed);
 }
 
+// Guards against a stale answer that hides that changes are missing.
+TEST_CASE("an answer as of an earlier version confirms nothing", "[fleet]") {
+  Fixture f;
+  f.Put(StoreTable::kOperator, "config", Configuration(5), 10);
+  TimePoint confirmed = f.now;
+  f.now += milliseconds(500);
+  f.view.ApplyChanges(StoreTable::kOperator, {}, {0, 9}, RowSource::kStore,
+                      f.now);
+  CHECK(f.view.confirmed_at(StoreTable::kOperator) == confirmed);
+  f.view.ApplyChanges(StoreTable::kOperator, {}, {0, 10}, RowSource::kStore,
+                      f.now);
+  CHECK(f.view.confirmed_at(StoreTable::kOperator) == f.now);
+}
+
 // One instance reads the store and another reads the first one's view, at
 // random times. Covers heartbeats, changes, removals and full reads after the
 // store has dropped its change history.
