--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -35,10 +35,10 @@
 // Parses the numbers in "/v1/fleet-view/A/B/C/D/E/F": the versions of the
 // tables, then their eras. Returns those before the first that is missing.
 std::vector<std::int64_t> ParseNumbers(std::string_view target) {
+  constexpr std::size_t kMaxNumbers = std::size_t{2} * kStoreTableCount;
   std::vector<std::int64_t> numbers;
   std::string_view rest = target.substr(kViewPath.size());
-  while (!rest.empty() && rest.front() == '/' &&
-         numbers.size() < 2 * kStoreTableCount) {
+  while (!rest.empty() && rest.front() == '/' && numbers.size() < kMaxNumbers) {
     rest.remove_prefix(1);
     std::int64_t number = 0;
     auto result =
