--- a/src/fleet/fleet_view.cc
+++ b/src/fleet/fleet_view.cc
@@ -56,6 +56,7 @@
     return;
   }
   known.as_of = as_of;
+  known.largest_number = std::max(known.largest_number, as_of.number);
   known.confirmed_at = std::max(known.confirmed_at, now);
   if (table == StoreTable::kInstances) {
     AdvanceMemberClock(now);
@@ -265,6 +266,7 @@
     return RowEffect::kUnusable;
   }
   if (superseded && IsSuperseded(*record)) {
+    lapsed_.erase(endpoint);
     return RowEffect::kUnchanged;
   }
   record->row_version = row.version;
@@ -375,9 +377,7 @@
   for (const EndpointId& endpoint : expired) {
     RemoveEndpoint(endpoint);
   }
-  if (operator_settles_at_.has_value() && *operator_settles_at_ <= now) {
-    SettleOperatorRows(now);
-  }
+  SettleRows(now);
 }
 
 void FleetView::ReportOmittedFindings(TimePoint now) {
--- a/src/fleet/fleet_view.h
+++ b/src/fleet/fleet_view.h
@@ -126,6 +126,7 @@
     return rollouts_.FindProgress(service);
   }
   const RolloutRecords& rollouts() const { return rollouts_; }
+  RolloutRecords& rollouts() { return rollouts_; }
   // Number of the version of the progress row; 0 if there is none.
   std::int64_t ProgressRowVersion(const ServiceId& service) const;
 
@@ -162,6 +163,9 @@
     std::int64_t superseded_until = -1;
     // As in TableSnapshot; not set in the first era.
     std::optional<std::int64_t> copied_until;
+    // Largest number of any era. A copy may be of a history that an earlier
+    // return has already lost.
+    std::int64_t largest_number = 0;
     std::unordered_map<std::string, KnownRow> rows;
     // Recent removals, oldest first.
     std::deque<StoreRow> removals;
@@ -186,8 +190,15 @@
   // Whether the record is an older state of a known endpoint, or that of one
   // that has left.
   bool IsSuperseded(const RoutedEndpoint& record) const;
-  // From now on, the operator's rows are what the store has.
+  // Gives up, step by step, what the store has lost and nobody has written
+  // again, and takes what its copy has.
+  void SettleRows(TimePoint now);
+  void SettleEvacuations();
   void SettleOperatorRows(TimePoint now);
+  // Rows of which a later state was known; from now on, none is.
+  std::vector<StoreRow> TakeSuperseded(StoreTable table);
+  // Evacuations that the store has, with the versions of their rows.
+  std::map<DataCentreId, std::int64_t> ListedEvacuations() const;
   // `superseded`: a later state of the row is known.
   void ApplyOperatorRow(const StoreRow& row, bool superseded, TimePoint now);
   void SetEvacuated(const DataCentreId& data_centre,
@@ -240,9 +251,11 @@
   // Endpoints that had left before the store returned from a copy that has them
   // again.
   std::set<std::string> departed_;
-  // Until then, what the operator had written before the store returned stays
-  // in force unless it is written anew.
+  // When rows of the store's copy, or their absence, begin to count against
+  // what was known before.
+  std::optional<TimePoint> evacuations_settle_at_;
   std::optional<TimePoint> operator_settles_at_;
+  std::optional<TimePoint> endpoints_settle_at_;
 };
 
 }  // namespace filbertshift
--- a/src/fleet/fleet_view_era.cc
+++ b/src/fleet/fleet_view_era.cc
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "src/fleet/fleet_view.h"
@@ -21,8 +22,16 @@
 // Endpoints that the copy lacks write their records again within about 2 s of
 // the store's return, according to the platform's service discovery.
 constexpr milliseconds kEndpointRewriteTime{2000};
-// Below the bounds within which an evacuation must take effect.
 constexpr milliseconds kOperatorRewriteTime{4000};
+// An evacuation in the copy that is known to have ended. Short, because it may
+// have been ordered again since.
+constexpr milliseconds kEvacuationHoldTime{1000};
+// By then, endpoints that are alive have written their records again and the
+// store has removed those of the others.
+constexpr milliseconds kEndpointSettleTime{10000};
+// An instance that has not read the store for longer has missed more than its
+// return.
+constexpr milliseconds kMaxKnownAge{7000};
 constexpr std::size_t kMaxDeparted = 1000;
 
 }  // namespace
@@ -35,16 +44,29 @@
       snapshot.copied_until.value_or(snapshot.as_of.number);
   std::size_t known_rows = known.rows.size();
   StoreVersion known_as_of = known.as_of;
+  // Others have followed the store since, and it has been written to.
+  bool outdated = now - known.confirmed_at > kMaxKnownAge;
   switch (snapshot.table) {
     case StoreTable::kOperator:
-      rollouts_.ExpectOrdersAgain();
-      operator_settles_at_ = now + kOperatorRewriteTime;
+      if (outdated) {
+        rollouts_.ForgetOrders();
+        operator_settles_at_ = now;
+      } else {
+        rollouts_.ExpectOrdersAgain();
+        operator_settles_at_ = now + kOperatorRewriteTime;
+        evacuations_settle_at_ = now + kEvacuationHoldTime;
+      }
       break;
     case StoreTable::kEndpoints:
       KeepLostEndpoints(known, snapshot, now);
+      endpoints_settle_at_ = now + kEndpointSettleTime;
       break;
     case StoreTable::kInstances:
-      rollouts_.ForgetProgressRows();
+      if (outdated) {
+        rollouts_.ForgetProgress();
+      } else {
+        rollouts_.KeepProgress();
+      }
       quarantine_rows_.clear();
       break;
   }
@@ -53,9 +75,10 @@
   known.removals_complete_after = snapshot.as_of.number;
   known.as_of = snapshot.as_of;
   known.copied_until = copied_until;
-  // The numbers of the copy are those of the earlier era. A row beyond what
-  // was known then is news, also if it was written before the store returned.
-  known.superseded_until = std::min(copied_until, known_as_of.number);
+  // The numbers of the copy are those of an earlier era. A row beyond what was
+  // known then is news, also if it was written before the store returned.
+  known.superseded_until =
+      outdated ? -1 : std::min(copied_until, known.largest_number);
   log_->Write(
       EventId::kStoreReturned,
       fmt::format("table={} era={} as_of={} rows={} known_era={} known={} "
@@ -66,6 +89,7 @@
                   departed_.size(), evacuated_.size(),
                   rollouts_.orders().size()));
   ApplyChanges(snapshot.table, snapshot.rows, snapshot.as_of, source, now);
+  SettleRows(now);
 }
 
 void FleetView::KeepLostEndpoints(const Table& known,
@@ -112,31 +136,76 @@
            record.state == EndpointState::kReady));
 }
 
-void FleetView::SettleOperatorRows(TimePoint now) {
-  operator_settles_at_.reset();
-  rollouts_.Settle();
-  Table& known = TableFor(StoreTable::kOperator);
-  std::set<DataCentreId> evacuated;
-  std::vector<StoreRow> superseded;
-  for (const auto& [key, entry] : known.rows) {
+void FleetView::SettleRows(TimePoint now) {
+  auto is_due = [now](std::optional<TimePoint>* time) {
+    bool due = time->has_value() && **time <= now;
+    if (due) {
+      time->reset();
+    }
+    return due;
+  };
+  if (is_due(&evacuations_settle_at_)) {
+    SettleEvacuations();
+  }
+  if (is_due(&operator_settles_at_)) {
+    SettleOperatorRows(now);
+  }
+  if (is_due(&endpoints_settle_at_)) {
+    departed_.clear();
+    for (const StoreRow& row : TakeSuperseded(StoreTable::kEndpoints)) {
+      ApplyEndpointRow(row, false, RowSource::kStore, now);
+    }
+  }
+}
+
+std::vector<StoreRow> FleetView::TakeSuperseded(StoreTable table) {
+  Table& known = TableFor(table);
+  std::vector<StoreRow> rows;
+  for (const auto& entry : known.rows) {
+    const StoreRow& row = entry.second.row;
+    if (row.version <= known.superseded_until && !row.value.empty()) {
+      rows.push_back(row);
+    }
+  }
+  known.superseded_until = -1;
+  return rows;
+}
+
+std::map<DataCentreId, std::int64_t> FleetView::ListedEvacuations() const {
+  std::map<DataCentreId, std::int64_t> listed;
+  for (const auto& [key, entry] : TableFor(StoreTable::kOperator).rows) {
     OperatorKey parsed = codec_.ParseOperatorKey(key);
     if (const auto* evacuation = std::get_if<EvacuationKey>(&parsed)) {
-      evacuated.insert(evacuation->data_centre);
+      listed[evacuation->data_centre] = entry.row.version;
     }
-    if (entry.row.version <= known.superseded_until) {
-      superseded.push_back(entry.row);
+  }
+  return listed;
+}
+
+void FleetView::SettleEvacuations() {
+  for (const auto& [data_centre, version] : ListedEvacuations()) {
+    if (!IsEvacuated(data_centre)) {
+      SetEvacuated(data_centre, true, version);
     }
   }
-  known.superseded_until = -1;
-  // An order that the store lacks stays: without it, nothing would limit the
-  // requests to its candidate.
+}
+
+void FleetView::SettleOperatorRows(TimePoint now) {
+  rollouts_.Settle();
+  SettleEvacuations();
+  std::map<DataCentreId, std::int64_t> listed = ListedEvacuations();
   for (const DataCentreId& data_centre : std::set<DataCentreId>(evacuated_)) {
-    if (evacuated.count(data_centre) == 0) {
+    if (listed.count(data_centre) == 0) {
       SetEvacuated(data_centre, false, 0);
     }
   }
-  for (const StoreRow& row : superseded) {
-    ApplyOperatorRow(row, false, now);
+  // An order that the store lacks stays: without it, nothing would limit the
+  // requests to its candidate.
+  for (const StoreRow& row : TakeSuperseded(StoreTable::kOperator)) {
+    OperatorKey key = codec_.ParseOperatorKey(row.key);
+    if (const auto* rollout = std::get_if<RolloutKey>(&key)) {
+      ApplyOrder(rollout->service, row, false, now);
+    }
   }
 }
 
--- a/src/fleet/rollout_records.cc
+++ b/src/fleet/rollout_records.cc
@@ -11,7 +11,8 @@
 }
 
 // Whether `a` replaces `b`, both of the same service. An instance that knew
-// nothing of a rollout may have begun it anew, so the earlier start counts.
+// nothing of a rollout may have begun it anew, so the earlier start counts, and
+// of two decisions the earlier one: the platform may have acted on it.
 bool IsAhead(const RolloutProgress& a, const RolloutProgress& b) {
   if (a.order_version.era == b.order_version.era &&
       a.order_version != b.order_version) {
@@ -20,6 +21,9 @@
   if (IsDecided(a) != IsDecided(b)) {
     return IsDecided(a);
   }
+  if (IsDecided(a)) {
+    return a.changed_at < b.changed_at;
+  }
   if (a.started_at != b.started_at) {
     return a.started_at < b.started_at;
   }
@@ -69,11 +73,32 @@
   UpdateProgress(service);
 }
 
-void RolloutRecords::ForgetProgressRows() {
+void RolloutRecords::KeepProgress() {
   kept_progress_ = progress_;
+  for (const auto& [service, written] : written_progress_) {
+    auto order = orders_.find(service);
+    auto kept = kept_progress_.find(service);
+    if (order != orders_.end() && Belongs(written, order->second) &&
+        (kept == kept_progress_.end() || IsAhead(written, kept->second))) {
+      kept_progress_[service] = written;
+    }
+  }
   progress_rows_.clear();
 }
 
+void RolloutRecords::ForgetProgress() {
+  written_progress_.clear();
+  kept_progress_.clear();
+  progress_rows_.clear();
+  progress_.clear();
+}
+
+void RolloutRecords::ForgetOrders() {
+  orders_.clear();
+  order_rows_.clear();
+  kept_progress_.clear();
+}
+
 void RolloutRecords::Settle() {
   orders_expected_ = false;
 }
--- a/src/fleet/rollout_records.h
+++ b/src/fleet/rollout_records.h
@@ -25,9 +25,18 @@
   // Sets the progress of a row; empty if the row is gone or not valid.
   void SetProgressRow(const ServiceId& service,
                       std::optional<RolloutProgress> progress);
+  // This instance has written the progress of an order.
+  void OnProgressWritten(const ServiceId& service,
+                         const RolloutProgress& progress) {
+    written_progress_[service] = progress;
+  }
   // The rows of progress are read anew, from a store that has returned from an
   // older copy.
-  void ForgetProgressRows();
+  void KeepProgress();
+  // As KeepProgress() and ExpectOrdersAgain(), for an instance that knows too
+  // little of what has happened since.
+  void ForgetProgress();
+  void ForgetOrders();
   // Until Settle(), an order that is equal to the known one is the same order.
   void ExpectOrdersAgain() { orders_expected_ = true; }
   void Settle();
@@ -56,6 +65,8 @@
   // Version of the row that holds the order now.
   std::map<ServiceId, StoreVersion> order_rows_;
   std::map<ServiceId, RolloutProgress> progress_rows_;
+  // Written by this instance; the row may not have been read yet.
+  std::map<ServiceId, RolloutProgress> written_progress_;
   // Known from an earlier era.
   std::map<ServiceId, RolloutProgress> kept_progress_;
   // Invariant: the later one of the progress row and the kept progress.
--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -22,7 +22,7 @@
 
 RolloutControl::RolloutControl(InstanceId instance,
                                const DocumentCodec& codec,
-                               const FleetView& view,
+                               FleetView* view,
                                const ExposureLimit& limit,
                                Forwarder* forwarder,
                                StoreWriter* writer,
@@ -38,7 +38,7 @@
 void RolloutControl::Step(std::optional<milliseconds> store_time,
                           TimePoint now) {
   ImportKeptSessions();
-  for (const auto& entry : view_.orders()) {
+  for (const auto& entry : view_->orders()) {
     const RolloutOrder& order = entry.second;
     auto known = known_orders_.find(order.service);
     if (known == known_orders_.end() || known->second != order.order_version) {
@@ -55,8 +55,9 @@
 
 bool RolloutControl::InProgress() const {
   return std::any_of(
-      view_.orders().begin(), view_.orders().end(), [this](const auto& entry) {
-        const RolloutProgress* progress = view_.FindProgress(entry.first);
+      view_->orders().begin(), view_->orders().end(),
+      [this](const auto& entry) {
+        const RolloutProgress* progress = view_->FindProgress(entry.first);
         return progress == nullptr ||
                progress->order_version != entry.second.order_version ||
                progress->state == RolloutPhase::kInProgress;
@@ -65,7 +66,7 @@
 
 RolloutEvidence RolloutControl::SharedEvidence() const {
   RolloutEvidence evidence = forwarder_->evidence();
-  for (const auto& [instance, member] : view_.members()) {
+  for (const auto& [instance, member] : view_->members()) {
     if (instance != instance_) {
       evidence.Add(member.state.evidence);
     }
@@ -75,8 +76,8 @@
 
 std::map<ServiceId, int> RolloutControl::StableInFlight() const {
   std::map<ServiceId, int> counts;
-  for (const auto& [service, order] : view_.orders()) {
-    const RolloutProgress* progress = view_.FindProgress(service);
+  for (const auto& [service, order] : view_->orders()) {
+    const RolloutProgress* progress = view_->FindProgress(service);
     if (progress != nullptr && progress->state == RolloutPhase::kInProgress) {
       counts[service] = forwarder_->CountOnOtherVersions(service, order.to);
     }
@@ -86,8 +87,8 @@
 
 std::vector<std::uint32_t> RolloutControl::KeptSessions(TimePoint now) const {
   std::vector<std::uint32_t> sessions;
-  for (const auto& [service, order] : view_.orders()) {
-    const RolloutProgress* progress = view_.FindProgress(service);
+  for (const auto& [service, order] : view_->orders()) {
+    const RolloutProgress* progress = view_->FindProgress(service);
     if (progress != nullptr && progress->state == RolloutPhase::kInProgress &&
         progress->order_version == order.order_version) {
       std::vector<std::uint32_t> kept =
@@ -100,7 +101,7 @@
 
 void RolloutControl::ImportKeptSessions() {
   std::set<std::uint32_t> sessions;
-  for (const auto& [instance, member] : view_.members()) {
+  for (const auto& [instance, member] : view_->members()) {
     if (instance != instance_) {
       sessions.insert(member.state.kept_sessions.begin(),
                       member.state.kept_sessions.end());
@@ -111,7 +112,7 @@
 
 int RolloutControl::CountStableInFlight(const RolloutOrder& order) const {
   int total = forwarder_->CountOnOtherVersions(order.service, order.to);
-  for (const auto& [instance, member] : view_.members()) {
+  for (const auto& [instance, member] : view_->members()) {
     auto found = member.state.stable_in_flight.find(order.service);
     if (instance != instance_ && found != member.state.stable_in_flight.end()) {
       total += found->second;
@@ -137,7 +138,7 @@
                                  TimePoint now) {
   RolloutInputs inputs;
   inputs.order = order;
-  const RolloutProgress* progress = view_.FindProgress(order.service);
+  const RolloutProgress* progress = view_->FindProgress(order.service);
   if (progress != nullptr) {
     inputs.progress = *progress;
   }
@@ -161,7 +162,7 @@
                             order.to.value()));
   }
   std::optional<RolloutProgress> next = NextRolloutProgress(inputs);
-  if (!next.has_value() && view_.rollouts().MustWriteAgain(order.service)) {
+  if (!next.has_value() && view_->rollouts().MustWriteAgain(order.service)) {
     next = inputs.progress;
   }
   if (!next.has_value()) {
@@ -202,7 +203,7 @@
 bool RolloutControl::IsMyTurn(const RolloutOrder& order, TimePoint now) {
   TimePoint due_since = due_since_.emplace(order.service, now).first->second;
   int rank = 0;
-  for (const auto& entry : view_.members()) {
+  for (const auto& entry : view_->members()) {
     rank += entry.first < instance_ ? 1 : 0;
   }
   return !writing_ && now - due_since >= kTurnInterval * rank;
@@ -212,11 +213,11 @@
                                    const RolloutProgress& progress) {
   std::string key = std::string(kProgressKeyPrefix) + order.service.value();
   StoreTransaction transaction;
-  transaction.era = view_.as_of(StoreTable::kInstances).era;
+  transaction.era = view_->as_of(StoreTable::kInstances).era;
   transaction.expectations.push_back(
-      {key, view_.ProgressRowVersion(order.service)});
+      {key, view_->ProgressRowVersion(order.service)});
   RolloutProgress written = progress;
-  written.order_version = view_.rollouts().VersionToWrite(order.service);
+  written.order_version = view_->rollouts().VersionToWrite(order.service);
   transaction.puts.push_back({key, EncodeRolloutProgress(written), 0, false});
   transaction.status_puts.push_back(
       codec_.EncodeRolloutStatus(order.service, order.to, progress.state));
@@ -240,8 +241,12 @@
     }
   }
   writing_ = writer_->Submit(
-      std::move(transaction), [this, detail](StoreWriteResult result) {
+      std::move(transaction), [this, detail, service = order.service,
+                               progress](StoreWriteResult result) {
         writing_ = false;
+        if (result == StoreWriteResult::kCommitted) {
+          view_->rollouts().OnProgressWritten(service, progress);
+        }
         log_->Write(
             EventId::kRolloutDecided,
             fmt::format("{} result={}", detail, StoreWriteResultName(result)));
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -18,7 +18,7 @@
  public:
   RolloutControl(InstanceId instance,
                  const DocumentCodec& codec,
-                 const FleetView& view,
+                 FleetView* view,
                  const ExposureLimit& limit,
                  Forwarder* forwarder,
                  StoreWriter* writer,
@@ -66,7 +66,7 @@
 
   const InstanceId instance_;
   const DocumentCodec& codec_;
-  const FleetView& view_;
+  FleetView* const view_;
   const ExposureLimit limit_;
   Forwarder* const forwarder_;
   StoreWriter* const writer_;
