--- a/tests/unit/fleet/fleet_view_era_test.cc
+++ b/tests/unit/fleet/fleet_view_era_test.cc
@@ -37,8 +37,10 @@
   void List(const StoreVersion& as_of,
             std::vector<StoreRow> rows,
             TimePoint now) {
-    REQUIRE(view.ReplaceTable({StoreTable::kEndpoints, as_of, std::move(rows)},
-                              RowSource::kStore, now));
+    bool applied =
+        view.ReplaceTable({StoreTable::kEndpoints, as_of, std::move(rows)},
+                          RowSource::kStore, now);
+    REQUIRE(applied);
   }
   void Read(std::vector<StoreRow> rows,
             const StoreVersion& as_of,
--- a/tests/unit/gateway/store_era_test.cc
+++ b/tests/unit/gateway/store_era_test.cc
@@ -64,9 +64,10 @@
       transaction.expectations.push_back({"k", 7});
       transaction.era = *expected_era;
     }
-    REQUIRE(writer.Submit(std::move(transaction), [this](StoreWriteResult r) {
-      results.push_back(r);
-    }));
+    bool accepted = writer.Submit(
+        std::move(transaction),
+        [this](StoreWriteResult result) { results.push_back(result); });
+    REQUIRE(accepted);
     transport.Advance(milliseconds(10));
   }
   // Returns the number of writes answered.
