Check in the soak what holds after the store returned

Checked: - a revoked key opens nothing and a key in force is not denied, during the drill and from 3 s after it (new: "a key in force opens"); - nothing reaches an endpoint that left or drains 2 s after the acknowledgement, also when the copy has it as ready (the existing check, for drains too); - an endpoint that the store has lost goes on being used until it has written its row again (new; counted from 1 s after the return, when instances have read the copy); - a change made 3 s after a drill is in force 2 s later.

The operator's lost rows come from 0.3 s and those of endpoints from 0.5 s after the return, and copies are saved from the start: instances then read the copy before the rows are back.

--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -74,6 +74,7 @@
   request.started_at = transport_->Now();
   request.counts_for_served_ratio = counts_for_served_ratio_;
   request.key_revoked = key_revoked_;
+  request.key_in_force = key_in_force_;
   request.deadline = deadline();
   request.plain = plain_;
   std::string body = SoakBody(id_);
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -33,6 +33,8 @@
   void SetActive(bool active) { active_ = active; }
   // Set once every instance has applied the revocation of the key.
   void SetKeyRevoked(bool revoked) { key_revoked_ = revoked; }
+  // Set while the key is in force at every instance.
+  void SetKeyInForce(bool in_force) { key_in_force_ = in_force; }
 
   HeadDecision OnHead(CallId call, const HttpResponseHead& head) override;
   void OnBody(CallId call, std::string_view data) override;
@@ -64,6 +66,7 @@
   std::string body_;
   bool counts_for_served_ratio_ = true;
   bool key_revoked_ = false;
+  bool key_in_force_ = false;
   bool plain_ = false;
   bool active_ = true;
   bool stopped_ = false;
--- a/tests/soak/soak_drill.cc
+++ b/tests/soak/soak_drill.cc
@@ -17,7 +17,9 @@
 constexpr std::size_t kMaxCopies = 30;
 constexpr int kMinAwayMs = 300;
 constexpr int kMaxAwayMs = 3000;
+constexpr int kMinOperatorRewriteMs = 300;
 constexpr int kMaxOperatorRewriteMs = 1000;
+constexpr int kMinEndpointRewriteMs = 500;
 constexpr int kMaxEndpointRewriteMs = 2000;
 constexpr int kMaxPauseBetweenMs = 2000;
 
@@ -162,7 +164,8 @@
       duration_cast<milliseconds>(now - copy.saved_at).count(),
       store_->era().value_or(0), operator_rows_.size(), endpoint_rows_.size()));
   if (!operator_rows_.empty()) {
-    ScheduleOperatorRow(drill_);
+    transport_->After(milliseconds(kMinOperatorRewriteMs),
+                      [this, drill = drill_] { ScheduleOperatorRow(drill); });
   }
   for (const auto& entry : endpoint_rows_) {
     ScheduleEndpointRow(entry.first, drill_);
@@ -180,8 +183,11 @@
 }
 
 void SoakDrill::ScheduleOperatorRow(std::uint64_t drill) {
-  int share =
-      kMaxOperatorRewriteMs / static_cast<int>(operator_rows_.size() + 1);
+  if (drill != drill_ || operator_rows_.empty()) {
+    return;
+  }
+  int share = (kMaxOperatorRewriteMs - kMinOperatorRewriteMs) /
+              static_cast<int>(operator_rows_.size());
   transport_->After(RandomDuration(0, share), [this, drill] {
     if (drill != drill_ || operator_rows_.empty()) {
       return;
@@ -199,18 +205,19 @@
 
 void SoakDrill::ScheduleEndpointRow(const std::string& key,
                                     std::uint64_t drill) {
-  transport_->After(RandomDuration(0, kMaxEndpointRewriteMs),
-                    [this, key, drill] {
-                      auto row = endpoint_rows_.find(key);
-                      if (drill != drill_ || row == endpoint_rows_.end()) {
-                        return;
-                      }
-                      Row written = std::move(row->second);
-                      endpoint_rows_.erase(row);
-                      --pending_rows_;
-                      ++rows_written_again_;
-                      Write(std::move(written));
-                    });
+  transport_->After(
+      RandomDuration(kMinEndpointRewriteMs, kMaxEndpointRewriteMs),
+      [this, key, drill] {
+        auto row = endpoint_rows_.find(key);
+        if (drill != drill_ || row == endpoint_rows_.end()) {
+          return;
+        }
+        Row written = std::move(row->second);
+        endpoint_rows_.erase(row);
+        --pending_rows_;
+        ++rows_written_again_;
+        Write(std::move(written));
+      });
 }
 
 bool SoakDrill::is_settled() const {
--- a/tests/soak/soak_record.cc
+++ b/tests/soak/soak_record.cc
@@ -151,6 +151,12 @@
   if (request.key_revoked && request.sealed && !MayKnowCopyOnly(request)) {
     ReportViolation("a withdrawn key opens nothing", id);
   }
+  constexpr int kDenied = 401;
+  if (request.key_in_force && request.status == kDenied &&
+      !MayKnowCopyOnly(request)) {
+    ReportViolation("a key in force opens",
+                    fmt::format("{} at {}", id, request.instance));
+  }
   if (request.status / 100 != 2) {
     return;
   }
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -69,6 +69,9 @@
   // The API key was revoked long enough ago for every instance to have applied
   // it, so the request must be denied.
   bool key_revoked = false;
+  // The API key was put in force long enough ago for every instance to have
+  // applied it, so the request must not be denied.
+  bool key_in_force = false;
   std::vector<SoakExecution> executions;
   // The latest one that said in its answer that it leaves.
   SoakIncarnation leaving;
--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -327,12 +327,19 @@
 
 void SoakSite::RevokeKey() {
   Log("second API key revoked");
+  second_caller_->SetKeyInForce(false);
   PutConfiguration(false);
   RunFor(kApplyTime);
   second_caller_->SetKeyRevoked(true);
   RunFor(milliseconds(1000));
+  RestoreKey();
+}
+
+void SoakSite::RestoreKey() {
   second_caller_->SetKeyRevoked(false);
   PutConfiguration(true);
+  RunFor(kApplyTime);
+  second_caller_->SetKeyInForce(true);
 }
 
 void SoakSite::RemoveEndpoint() {
@@ -412,7 +419,7 @@
 // Excused is only what an instance that starts meanwhile has from the copy, and
 // rules with a time bound are checked from kSoakDrillSettleTime after it, as
 // the platform says that the store loses what it acknowledged in a drill.
-void SoakSite::BeginDrill() {
+void SoakSite::BeginDrill(std::optional<milliseconds> age) {
   constexpr int kMinAgeMs = 1000;
   constexpr int kMaxAgeMs = 10000;
   bool cut = drill_random_() % 2 == 0;
@@ -423,9 +430,9 @@
       proxies.push_back(instance->store_proxy.get());
     }
   }
-  milliseconds age(
+  milliseconds random_age(
       std::uniform_int_distribution<int>(kMinAgeMs, kMaxAgeMs)(drill_random_));
-  drill_.Begin(age, std::move(proxies), again);
+  drill_.Begin(age.value_or(random_age), std::move(proxies), again);
   ExcuseCopiedState();
 }
 
@@ -448,6 +455,148 @@
   }
 }
 
+void SoakSite::BeginFaultsBesideDrill() {
+  std::swap(random_, drill_random_);
+  int faults = static_cast<int>(random_() % 3);
+  for (int i = 0; i < faults; ++i) {
+    BeginFault();
+    RunFor(RandomDuration(0, 1500));
+  }
+  std::swap(random_, drill_random_);
+}
+
+void SoakSite::PlayDrillAfterRevocation() {
+  // Revoked so shortly before that instances may not have read it, the key is
+  // denied from the time at which the bounds hold again.
+  bool late = drill_random_() % 3 == 0;
+  Log(fmt::format("second API key revoked{}", late ? " just before" : ""));
+  second_caller_->SetKeyInForce(false);
+  PutConfiguration(false);
+  RunFor(late ? milliseconds(drill_random_() % 200) : kApplyTime);
+  second_caller_->SetKeyRevoked(!late);
+  BeginDrill();
+  BeginFaultsBesideDrill();
+  WaitUntilCalm();
+  if (late) {
+    second_caller_->SetKeyRevoked(true);
+    RunFor(milliseconds(1000));
+  }
+  PlayChangesAfterDrill(true);
+}
+
+void SoakSite::PlayDrillAfterLeaving() {
+  Endpoint& endpoint = endpoints_[drill_random_() % endpoints_.size()];
+  bool drains = drill_random_() % 2 == 0;
+  bool late = drill_random_() % 3 == 0;
+  Log(fmt::format("endpoint {} {}{}", endpoint.worker->id(),
+                  drains ? "drains" : "removed from the store",
+                  late ? " just before" : ""));
+  if (drains) {
+    PutEndpoint(endpoint, "draining");
+  } else {
+    drill_.Remove("servers", endpoint.worker->id());
+  }
+  RunFor(late ? milliseconds(drill_random_() % 200) : kRemovalTime);
+  endpoint.worker->SetRemoved(!late);
+  BeginDrill();
+  BeginFaultsBesideDrill();
+  WaitUntilCalm();
+  if (late) {
+    endpoint.worker->SetRemoved(true);
+    RunFor(milliseconds(1000));
+  }
+  endpoint.worker->SetRemoved(false);
+  if (drains) {
+    endpoint.worker->StartAgain();
+  }
+  PutEndpoint(endpoint);
+  if (endpoints_.size() == 2) {
+    // The next change takes the other one away.
+    RunFor(kApplyTime);
+  }
+  PlayChangesAfterDrill(false);
+}
+
+void SoakSite::PlayDrillAfterRegistration() {
+  constexpr milliseconds kAbsence{2000};
+  // The instances have noticed the return after the first time, and the
+  // endpoint gets a request within the second one.
+  constexpr milliseconds kNoticed{1000};
+  constexpr milliseconds kMinLost{500};
+  Endpoint& endpoint = endpoints_[drill_random_() % endpoints_.size()];
+  const std::string& id = endpoint.worker->id();
+  Log(fmt::format("endpoint {} removed, and registers before the drill", id));
+  drill_.Remove("servers", id);
+  RunFor(kAbsence);
+  PutEndpoint(endpoint);
+  record_put_back_at_ = loop_.Now();
+  RunFor(kApplyTime);
+  int arrivals = endpoint.worker->arrivals();
+  RunFor(milliseconds(1000));
+  bool was_used = endpoint.worker->arrivals() > arrivals;
+  // From a copy without it.
+  BeginDrill(duration_cast<milliseconds>(loop_.Now() - record_put_back_at_) +
+             milliseconds(1000));
+  while (!drill_.is_over()) {
+    if (drill_.IsLost("servers", id)) {
+      RunFor(kNoticed);
+    }
+    arrivals = endpoint.worker->arrivals();
+    TimePoint lost_at = loop_.Now();
+    while (drill_.IsLost("servers", id)) {
+      RunFor(kCheckInterval);
+    }
+    milliseconds lost = duration_cast<milliseconds>(loop_.Now() - lost_at);
+    if (lost >= kMinLost) {
+      bool used = endpoint.worker->arrivals() > arrivals;
+      Log(fmt::format("endpoint {} lost for {} ms, {} requests", id,
+                      lost.count(), endpoint.worker->arrivals() - arrivals));
+      if (was_used && !used) {
+        record_.ReportViolation(
+            "an endpoint that the store has lost goes on being used", id);
+      }
+    }
+    RunFor(kCheckInterval);
+  }
+  WaitUntilCalm();
+  PlayChangesAfterDrill(false);
+}
+
+void SoakSite::PlayChangesAfterDrill(bool key_is_revoked) {
+  Endpoint& endpoint = endpoints_[drill_random_() % endpoints_.size()];
+  Log(fmt::format("endpoint {} removed from the store, second API key {}",
+                  endpoint.worker->id(),
+                  key_is_revoked ? "restored" : "revoked"));
+  second_caller_->SetKeyRevoked(false);
+  second_caller_->SetKeyInForce(false);
+  PutConfiguration(key_is_revoked);
+  drill_.Remove("servers", endpoint.worker->id());
+  RunFor(kApplyTime);
+  second_caller_->SetKeyRevoked(!key_is_revoked);
+  second_caller_->SetKeyInForce(key_is_revoked);
+  endpoint.worker->SetRemoved(true);
+  RunFor(milliseconds(1000));
+  endpoint.worker->SetRemoved(false);
+  PutEndpoint(endpoint);
+  record_put_back_at_ = loop_.Now();
+  if (!key_is_revoked) {
+    RestoreKey();
+  }
+}
+
+void SoakSite::PlayDrill() {
+  switch (drill_random_() % 3) {
+    case 0:
+      PlayDrillAfterRevocation();
+      break;
+    case 1:
+      PlayDrillAfterLeaving();
+      break;
+    default:
+      PlayDrillAfterRegistration();
+  }
+}
+
 void SoakSite::WaitUntilReady() {
   RunFor(kReadyTime);
 }
@@ -466,6 +615,7 @@
   for (const std::unique_ptr<SoakCaller>& caller : callers_) {
     caller->Start();
   }
+  second_caller_->SetKeyInForce(true);
   second_caller_->Start();
   std::vector<std::string> addresses;
   for (const std::unique_ptr<Instance>& instance : instances_) {
@@ -492,6 +642,10 @@
       RemoveEndpoint();
     }
     PlayNotice();
+    WaitUntilCalm();
+    TimePoint drill_began = loop_.Now();
+    PlayDrill();
+    end += loop_.Now() - drill_began;
   }
   Log("all instances killed simultaneously");
   ExtendDisruption(kRecoveryTime - kReconnectTime);
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -82,8 +83,18 @@
   void CheckMemory();
   void ExtendDisruption(std::chrono::milliseconds time);
   void UpdateFaultFree();
-  // Begins a drill of the store; its copy is 1 to 10 s old.
-  void BeginDrill();
+  // Begins a drill of the store with an age of its copy of 1 to 10 s, or with
+  // the given one.
+  void BeginDrill(std::optional<std::chrono::milliseconds> age = std::nullopt);
+  // Changes something, with the store returning from an older copy after that,
+  // and mostly with other faults beside.
+  void PlayDrill();
+  void PlayDrillAfterRevocation();
+  void PlayDrillAfterLeaving();
+  void PlayDrillAfterRegistration();
+  void BeginFaultsBesideDrill();
+  // The configuration and an endpoint change, once bounds hold again.
+  void PlayChangesAfterDrill(bool key_is_revoked);
   // An instance that started during a drill and has read no later state may go
   // by the copy until the drill has settled.
   void ExcuseCopiedState();
@@ -92,6 +103,7 @@
   void WaitUntilCalm();
   // Planned changes, which must not make any request fail.
   void RevokeKey();
+  void RestoreKey();
   // An endpoint falls silent for about a second and goes on.
   void SilenceEndpoint();
   void RemoveEndpoint();
--- a/tests/unit/soak/soak_record_test.cc
+++ b/tests/unit/soak/soak_record_test.cc
@@ -27,10 +27,10 @@
   return request;
 }
 
-SoakRequest RequestWithRevokedKey(const std::string& instance) {
+SoakRequest RequestWithKeyInForce(const std::string& instance) {
   SoakRequest request = Request(SoakKind::kIdempotent);
   request.instance = instance;
-  request.key_revoked = true;
+  request.key_in_force = true;
   return request;
 }
 
@@ -63,9 +63,14 @@
 TEST_CASE("an instance that started in a drill may go by the copy", "[soak]") {
   SoakRecord record;
   record.ExcuseCopiedState("i1", kNow + milliseconds(1));
-  record.OnSent("k", RequestWithRevokedKey("i1"));
+  SoakRequest revoked = Request(SoakKind::kIdempotent);
+  revoked.instance = "i1";
+  revoked.key_revoked = true;
+  record.OnSent("k", revoked);
   record.OnExecutionAfterLeaving("k", "e1");
   record.OnResponse("k", 200, true, SoakResponseBody("k"));
+  record.OnSent("l", RequestWithKeyInForce("i1"));
+  record.OnResponse("l", 401, false, "");
   CHECK(record.violations().empty());
 }
 
@@ -125,18 +130,22 @@
     record.OnSent("k", request);
     record.OnResponse("k", 200, true, SoakResponseBody("k"));
   }
+  SECTION("a key in force that is denied") {
+    record.OnSent("k", RequestWithKeyInForce("i1"));
+    record.OnResponse("k", 401, false, "");
+  }
   SECTION("a run at an endpoint that has left") {
     record.OnExecutionAfterLeaving("a", "e1");
   }
   SECTION("the older copy at an instance that knew better") {
     record.ExcuseCopiedState("i2", kNow + milliseconds(1));
-    record.OnSent("k", RequestWithRevokedKey("i1"));
-    record.OnResponse("k", 200, true, SoakResponseBody("k"));
+    record.OnSent("k", RequestWithKeyInForce("i1"));
+    record.OnResponse("k", 401, false, "");
   }
   SECTION("the older copy after the drill has settled") {
     record.ExcuseCopiedState("i1", kNow);
-    record.OnSent("k", RequestWithRevokedKey("i1"));
-    record.OnResponse("k", 200, true, SoakResponseBody("k"));
+    record.OnSent("k", RequestWithKeyInForce("i1"));
+    record.OnResponse("k", 401, false, "");
   }
   SECTION("a request to an endpoint that said it leaves") {
     record.OnLeavingAnswered("a", {"e1", 1});
