Log connects that fail everywhere and what a refusal is based on

An instance that reaches no endpoint wrote a line for each attempt and each probe, and none about all of them; a 503 no_endpoint said "endpoints at cold limit" both for a limit of the endpoint's record and for one assumed after a failed connect. Now: - FS1830 and FS1831, when connects begin to fail at several endpoints with none that succeeds, and when one succeeds again: different endpoints, hosts, services and data centres, ages of the latest connect and byte. At most one start a second. - FS1832, for each refusal no_endpoint: candidates by what holds them back.

No decision changes: the new counters are read by the log only.

--- a/src/common/event_catalogue.cc
+++ b/src/common/event_catalogue.cc
@@ -282,6 +282,22 @@
       {EventId::kOverflowBothWays, kWarning, "overflow_both_ways",
        "By the reported load, this data centre and the destination have sent "
        "requests to each other within 2 s. At most one each 10 s."},
+      {EventId::kConnectsFailing, kWarning, "connects_failing",
+       "Connects of this instance fail at several endpoints, and none has "
+       "succeeded since the first of them: the network of this instance, or "
+       "many endpoints, may be down. The detail has the different endpoints, "
+       "hosts, services and data centres, the endpoints known, and the ages "
+       "of the latest connect that succeeded and of the latest byte from any "
+       "endpoint (-1: none). At most once a second."},
+      {EventId::kConnectsRestored, kInfo, "connects_restored",
+       "A connect to an endpoint has succeeded after connects_failing; the "
+       "detail has the failures up to then."},
+      {EventId::kNoEndpointUsable, kInfo, "no_endpoint_usable",
+       "A request ends with no_endpoint; the detail has the endpoints that "
+       "may execute it, how many of them were tried, are paused, are cold by "
+       "their records, are assumed to be cold after a failed connection (and "
+       "have an idle connection), are avoided or cut off, and the failed "
+       "connects as in connects_failing."},
   };
   return kDefinitions;
 }
--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -127,6 +127,9 @@
   kSheddingEnded = 1802,
   kRequestsLeftDataCentre = 1820,
   kOverflowBothWays = 1821,
+  kConnectsFailing = 1830,
+  kConnectsRestored = 1831,
+  kNoEndpointUsable = 1832,
 };
 
 struct EventDefinition {
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -7,6 +7,7 @@
 
 #include "src/dispatch/attempt_result.h"
 #include "src/dispatch/buffer_budget.h"
+#include "src/dispatch/connect_outcomes.h"
 #include "src/dispatch/endpoint_activity.h"
 #include "src/dispatch/endpoint_load_table.h"
 #include "src/dispatch/endpoint_notices.h"
--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -99,6 +99,8 @@
   Entry& entry = found->second;
   entry.record = record;
   if (record.cold_remaining.count() > 0) {
+    entry.recorded_cold_until =
+        std::max(entry.recorded_cold_until, now + record.cold_remaining);
     entry.cold_until = std::max(entry.cold_until, now + record.cold_remaining);
   }
 }
@@ -412,6 +414,7 @@
   auto found = entries_.find(endpoint);
   if (found != entries_.end()) {
     found->second.activity.OnBytes(now);
+    connects_.OnBytes(now);
     DataCentre& centre = data_centres_[found->second.record.data_centre];
     centre.activity.OnBytes(now);
     centre.losses.OnBytes();
@@ -474,6 +477,7 @@
         DataCentre& centre = data_centres_[entry.record.data_centre];
         centre.activity.OnConnectFailed();
         centre.losses.OnHostGone(entry.record.address);
+        connects_.OnFailed(entry.record, now);
       }
       AvoidAfterBreak(&entry, now);
       AssumeCold(&entry, now);
@@ -522,8 +526,35 @@
   if (found != entries_.end()) {
     const RoutedEndpoint& record = found->second.record;
     data_centres_[record.data_centre].losses.OnHostGone(record.address);
+    connects_.OnFailed(record, now);
     AssumeCold(&found->second, now);
   }
 }
 
+CandidateCounts EndpointPool::CountCandidates(const DispatchQuery& query,
+                                              TimePoint now) {
+  CandidateCounts counts;
+  for (auto& item : entries_) {
+    Entry& entry = item.second;
+    if (!IsCandidate(entry, query)) {
+      continue;
+    }
+    ++counts.candidates;
+    counts.paused +=
+        notices_.PausedUntil(entry.record.endpoint, now).has_value() ? 1 : 0;
+    counts.avoided += entry.avoid_until > now ? 1 : 0;
+    counts.cut_off += IsCutOff(entry) ? 1 : 0;
+    if (!ColdLimitReached(&entry, now)) {
+      continue;
+    }
+    if (now < entry.recorded_cold_until) {
+      ++counts.cold;
+    } else {
+      ++counts.assumed_cold;
+      counts.assumed_cold_addresses.push_back(entry.record.address);
+    }
+  }
+  return counts;
+}
+
 }  // namespace filbertshift
--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -9,11 +9,13 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "src/dispatch/attempt_result.h"
+#include "src/dispatch/connect_outcomes.h"
 #include "src/dispatch/endpoint_activity.h"
 #include "src/dispatch/endpoint_load_table.h"
 #include "src/dispatch/endpoint_notices.h"
@@ -97,6 +99,23 @@
   bool data_centre_stalled = false;
 };
 
+// Why endpoints that may execute a request are not used for it now. One may
+// count more than once.
+struct CandidateCounts {
+  int candidates = 0;
+  int paused = 0;
+  // Cold by their records, and at their limit.
+  int cold = 0;
+  // Assumed to be cold after a connection failed or broke, and at their limit.
+  int assumed_cold = 0;
+  // Addresses of these.
+  std::vector<std::string> assumed_cold_addresses;
+  // Failed or refused lately.
+  int avoided = 0;
+  // In a data centre that is probably cut off.
+  int cut_off = 0;
+};
+
 struct ColdLimits {
   // Limit per cold endpoint over all instances: rate x overshoot + tolerance
   // requests in any second.
@@ -163,6 +182,16 @@
                   TimePoint now);
   // The endpoint's host accepts no connections.
   void OnHostGone(const EndpointId& endpoint, TimePoint now);
+  // A connection to an endpoint was established, for a request or as a probe.
+  void OnConnectSucceeded(TimePoint now) { connects_.OnSucceeded(now); }
+  // For the log.
+  CandidateCounts CountCandidates(const DispatchQuery& query, TimePoint now);
+  std::optional<ConnectReport> TakeConnectReport(TimePoint now) {
+    return connects_.TakeReport(entries_.size(), now);
+  }
+  ConnectFailures FailuresToConnect(TimePoint now) const {
+    return connects_.Failures(now);
+  }
   // Flows out of this data centre that the plans contain now.
   std::vector<OverflowState> Overflows(TimePoint now) const;
   // Number of ready endpoints that run the version, or any other version if
@@ -182,6 +211,8 @@
     double waiting_tokens = 0;
     double running_weight = 0;
     TimePoint cold_until{};
+    // The part of that which the record states.
+    TimePoint recorded_cold_until{};
     SlidingCounter sends;
     TimePoint avoid_until{};
     // Until then, its latest rejection says that its queue is full.
@@ -306,6 +337,7 @@
   std::unordered_map<EndpointId, Entry> entries_;
   EndpointNotices notices_;
   std::unordered_map<DataCentreId, DataCentre> data_centres_;
+  ConnectOutcomes connects_;
   PlacementSettings placement_;
   const EndpointLoadTable* load_table_ = nullptr;
   // Invariant: holds the endpoints of `entries_` if placement is enabled,
--- a/src/dispatch/host_losses.cc
+++ b/src/dispatch/host_losses.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "src/dispatch/connect_outcomes.h"
+
 namespace filbertshift {
 
 namespace {
@@ -15,15 +17,6 @@
 // requests come.
 constexpr milliseconds kReluctantProbeInterval{2000};
 
-// Several endpoints may share a host. On the loopback interface, each port
-// stands for a host.
-std::string_view HostOf(std::string_view address) {
-  constexpr std::string_view kLoopback = "127.";
-  return address.substr(0, kLoopback.size()) == kLoopback
-             ? address
-             : address.substr(0, address.rfind(':'));
-}
-
 }  // namespace
 
 void HostLosses::OnHostGone(std::string_view address) {
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -123,6 +123,7 @@
   const Exchange* exchange = Find(call);
   if (exchange != nullptr && exchange->attempt.has_value()) {
     pool_.OnConnected(exchange->attempt->endpoint, time);
+    pool_.OnConnectSucceeded(transport_->Now());
   }
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -150,6 +150,8 @@
   std::string EncodeAttemptHead(const Exchange& exchange,
                                 const RoutedEndpoint& endpoint) const;
   void WaitForEndpoint(Exchange* exchange, const DispatchChoice& choice);
+  // Logs why the request finds no endpoint.
+  void ReportNoEndpoint(const Exchange& exchange);
   // Counts whether the request was sent and may have run.
   void EndAttempt(Exchange* exchange, AttemptResult result);
   ExecutionState ExecutionOf(const EndpointAttempt& attempt) const;
@@ -254,6 +256,9 @@
                               const SilenceQuery& query,
                               SilenceReason reason);
 
+  // Logs when connects to many endpoints begin or cease to fail.
+  void ReportConnects();
+
   // Notices of endpoints.
   void ApplyNotices(const Exchange& exchange,
                     const ResponseMetadata& metadata,
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -191,6 +191,7 @@
     } else {
       exchange->failure_detail = "no endpoint available";
     }
+    ReportNoEndpoint(*exchange);
     GiveUp(exchange, 503, "no_endpoint", "no_endpoint");
     return;
   }
@@ -199,6 +200,36 @@
       kDispatchRetryInterval, [this, caller] { Dispatch(caller); });
 }
 
+void Forwarder::ReportNoEndpoint(const Exchange& exchange) {
+  TimePoint now = transport_->Now();
+  DispatchQuery query = QueryFor(exchange);
+  query.excluded.clear();
+  CandidateCounts counts = pool_.CountCandidates(query, now);
+  milliseconds max_idle =
+      exchange.route->repeatable() ? kMaxIdle : kMaxIdleUnrepeatable;
+  auto connected = std::count_if(counts.assumed_cold_addresses.begin(),
+                                 counts.assumed_cold_addresses.end(),
+                                 [&](const std::string& address) {
+                                   return client_.HasIdle(address, max_idle);
+                                 });
+  ConnectFailures failures = pool_.FailuresToConnect(now);
+  auto age = [](std::optional<milliseconds> value) {
+    return value.has_value() ? value->count() : -1;
+  };
+  log_->Write(
+      EventId::kNoEndpointUsable,
+      {RequestId(exchange.metadata.request_id), {}, {}},
+      fmt::format("service={} candidates={} tried={} paused={} cold={} "
+                  "assumed_cold={} assumed_cold_connected={} avoided={} "
+                  "cut_off={} failing_endpoints={} failing_hosts={} "
+                  "connected_ms={} bytes_ms={}",
+                  exchange.service.value(), counts.candidates,
+                  exchange.tried.size(), counts.paused, counts.cold,
+                  counts.assumed_cold, connected, counts.avoided,
+                  counts.cut_off, failures.endpoints, failures.hosts,
+                  age(failures.latest_success), age(failures.latest_bytes)));
+}
+
 void Forwarder::StartAttempt(Exchange* exchange,
                              const RoutedEndpoint& endpoint) {
   if (exchange->runs > 0 && !exchange->route->repeatable()) {
--- a/src/gateway/forwarder_silence.cc
+++ b/src/gateway/forwarder_silence.cc
@@ -126,6 +126,9 @@
   if (value == Reachability::kGone) {
     pool_.OnHostGone(endpoint, now);
   }
+  if (result == EndpointProbe::Result::kAccepted) {
+    pool_.OnConnectSucceeded(now);
+  }
 }
 
 bool Forwarder::HasReplacement(const Exchange& exchange) {
@@ -201,9 +204,32 @@
   for (ConnectionId caller : silent_callers) {
     LeaveSilentEndpoint(caller);
   }
+  ReportConnects();
   ScheduleSweep();
 }
 
+void Forwarder::ReportConnects() {
+  std::optional<ConnectReport> report =
+      pool_.TakeConnectReport(transport_->Now());
+  if (!report.has_value()) {
+    return;
+  }
+  const ConnectFailures& failures = report->failures;
+  auto age = [](std::optional<milliseconds> value) {
+    return value.has_value() ? value->count() : -1;
+  };
+  log_->Write(
+      report->failing ? EventId::kConnectsFailing : EventId::kConnectsRestored,
+      {},
+      fmt::format("failures={} endpoints={} hosts={} services={} "
+                  "data_centres={} known={} since_first_ms={} connected_ms={} "
+                  "bytes_ms={}",
+                  failures.failures, failures.endpoints, failures.hosts,
+                  failures.services, failures.data_centres,
+                  view_.endpoints().size(), failures.since_first.count(),
+                  age(failures.latest_success), age(failures.latest_bytes)));
+}
+
 void Forwarder::ScheduleSweep() {
   transport_->After(kSweepInterval, [this] { SweepSilentAttempts(); });
 }
--- a/src/gateway/http_client.cc
+++ b/src/gateway/http_client.cc
@@ -65,6 +65,22 @@
   return found == connections_.end() ? nullptr : found->second.get();
 }
 
+const HttpClient::Connection* HttpClient::Find(ConnectionId id) const {
+  auto found = connections_.find(Number(id));
+  return found == connections_.end() ? nullptr : found->second.get();
+}
+
+bool HttpClient::HasIdle(const std::string& address,
+                         milliseconds max_idle) const {
+  auto found = idle_.find(address);
+  return found != idle_.end() &&
+         std::any_of(
+             found->second.begin(), found->second.end(), [&](ConnectionId id) {
+               const Connection* connection = Find(id);
+               return connection != nullptr && IsUsable(*connection, max_idle);
+             });
+}
+
 bool HttpClient::IsUsable(const Connection& connection,
                           milliseconds max_idle) const {
   auto idle = transport_->Now() - connection.idle_since;
--- a/src/gateway/http_client.h
+++ b/src/gateway/http_client.h
@@ -119,6 +119,9 @@
   }
   // Aborts the call and its connection; the listener is not notified.
   void Cancel(CallId call);
+  // Whether a request could be sent to the address on an open connection.
+  bool HasIdle(const std::string& address,
+               std::chrono::milliseconds max_idle) const;
   // Closes all idle connections to the address.
   void CloseIdle(const std::string& address);
   std::uint64_t connections_opened() const { return connections_opened_; }
@@ -160,6 +163,7 @@
   };
 
   Connection* Find(ConnectionId id);
+  const Connection* Find(ConnectionId id) const;
   CallConnection Describe(ConnectionId id, const Connection& connection) const;
   void ReportUnsolicited(ConnectionId id,
                          const Connection& connection,
