--- a/tests/unit/dispatch/sliding_counter_test.cc
+++ b/tests/unit/dispatch/sliding_counter_test.cc
@@ -35,5 +35,22 @@
   CHECK(counter.Count(kStart + milliseconds(9900)) == 100);
 }
 
+TEST_CASE("an event that is taken back is not counted", "[dispatch]") {
+  SlidingCounter counter(milliseconds(1000), milliseconds(100));
+  counter.Add(kStart);
+  counter.Add(kStart + milliseconds(200));
+  counter.Add(kStart + milliseconds(250));
+  counter.Remove(kStart + milliseconds(250));
+  CHECK(counter.Count(kStart + milliseconds(300)) == 2);
+  counter.Remove(kStart);
+  CHECK(counter.Count(kStart + milliseconds(300)) == 1);
+  // Its slice has none left, or is gone.
+  counter.Remove(kStart);
+  CHECK(counter.Count(kStart + milliseconds(300)) == 1);
+  CHECK(counter.Count(kStart + milliseconds(5000)) == 0);
+  counter.Remove(kStart);
+  CHECK(counter.Count(kStart + milliseconds(5000)) == 0);
+}
+
 }  // namespace
 }  // namespace filbertshift
--- a/tests/unit/gateway/handover_test.cc
+++ b/tests/unit/gateway/handover_test.cc
@@ -509,6 +509,18 @@
   CHECK(site.Ask("i0", 10, "once") == 10);
 }
 
+TEST_CASE("a request leaves a peer that is suspended", "[gateway][handover]") {
+  Site site;
+  site.CutOffAndWait({"i0"});
+  site.SetDelay(milliseconds(300));
+  Caller& caller = site.Send("i0", "many");
+  site.Pass(milliseconds(100));
+  site.network.SuspendUntil(site.instances.at(site.BusyPeer()).node,
+                            site.network.now() + seconds(20));
+  site.Await(caller);
+  CHECK(caller.head.status == 200);
+}
+
 // Knows no path, as an instance of an earlier version.
 class EarlierPeer : public HttpRequestHandler {
  public:
