--- a/src/common/event_catalogue.h
+++ b/src/common/event_catalogue.h
@@ -130,6 +130,11 @@
   kConnectsFailing = 1830,
   kConnectsRestored = 1831,
   kNoEndpointUsable = 1832,
+  kEndpointContactLost = 1840,
+  kEndpointContactRegained = 1841,
+  kRequestHandedOver = 1842,
+  kHandoverEnded = 1843,
+  kHandoverRejected = 1844,
 };
 
 struct EventDefinition {
