--- a/src/dispatch/endpoint_pool.cc
+++ b/src/dispatch/endpoint_pool.cc
@@ -477,7 +477,6 @@
         DataCentre& centre = data_centres_[entry.record.data_centre];
         centre.activity.OnConnectFailed();
         centre.losses.OnHostGone(entry.record.address);
-        connects_.OnFailed(entry.record, now);
       }
       AvoidAfterBreak(&entry, now);
       AssumeCold(&entry, now);
@@ -526,11 +525,17 @@
   if (found != entries_.end()) {
     const RoutedEndpoint& record = found->second.record;
     data_centres_[record.data_centre].losses.OnHostGone(record.address);
-    connects_.OnFailed(record, now);
     AssumeCold(&found->second, now);
   }
 }
 
+void EndpointPool::OnConnectFailed(const EndpointId& endpoint, TimePoint now) {
+  auto found = entries_.find(endpoint);
+  if (found != entries_.end()) {
+    connects_.OnFailed(found->second.record, now);
+  }
+}
+
 CandidateCounts EndpointPool::CountCandidates(const DispatchQuery& query,
                                               TimePoint now) {
   CandidateCounts counts;
--- a/src/dispatch/endpoint_pool.h
+++ b/src/dispatch/endpoint_pool.h
@@ -182,9 +182,10 @@
                   TimePoint now);
   // The endpoint's host accepts no connections.
   void OnHostGone(const EndpointId& endpoint, TimePoint now);
-  // A connection to an endpoint was established, for a request or as a probe.
+  // For the log: a connection to an endpoint was not established, or was, for a
+  // request or as a probe.
+  void OnConnectFailed(const EndpointId& endpoint, TimePoint now);
   void OnConnectSucceeded(TimePoint now) { connects_.OnSucceeded(now); }
-  // For the log.
   CandidateCounts CountCandidates(const DispatchQuery& query, TimePoint now);
   std::optional<ConnectReport> TakeConnectReport(TimePoint now) {
     return connects_.TakeReport(entries_.size(), now);
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -456,6 +456,7 @@
   exchange->failure_detail = std::string(detail);
   exchange->attempt->sent = failure != CallFailure::kNotSent;
   if (failure == CallFailure::kNotSent) {
+    pool_.OnConnectFailed(exchange->attempt->endpoint, transport_->Now());
     EndAttempt(exchange, AttemptResult::kUnreachable);
     Repeat(exchange, "not_sent");
     return;
--- a/src/gateway/forwarder_silence.cc
+++ b/src/gateway/forwarder_silence.cc
@@ -126,7 +126,9 @@
   if (value == Reachability::kGone) {
     pool_.OnHostGone(endpoint, now);
   }
-  if (result == EndpointProbe::Result::kAccepted) {
+  if (value == Reachability::kGone) {
+    pool_.OnConnectFailed(endpoint, now);
+  } else if (value == Reachability::kReachable) {
     pool_.OnConnectSucceeded(now);
   }
 }
