--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -481,6 +481,7 @@
     return;
   }
   if (failure == CallFailure::kNotSent) {
+    pool_.OnConnectFailed(exchange->attempt->endpoint, transport_->Now());
     contact_.OnConnectFailed(exchange->attempt->endpoint, transport_->Now());
     ProbeContact();
     EndAttempt(exchange, AttemptResult::kUnreachable);
--- a/src/gateway/forwarder_handover.cc
+++ b/src/gateway/forwarder_handover.cc
@@ -135,8 +135,10 @@
 void Forwarder::ReportProbe(const EndpointId& endpoint, Reachability value) {
   TimePoint now = transport_->Now();
   if (value == Reachability::kReachable) {
+    pool_.OnConnectSucceeded(now);
     contact_.OnConnected(endpoint, now);
   } else if (value == Reachability::kGone) {
+    pool_.OnConnectFailed(endpoint, now);
     contact_.OnConnectFailed(endpoint, now);
   }
 }
--- a/src/gateway/forwarder_silence.cc
+++ b/src/gateway/forwarder_silence.cc
@@ -127,9 +127,6 @@
   if (value == Reachability::kGone && !contact_.stranded()) {
     pool_.OnHostGone(endpoint, now);
   }
-  if (result == EndpointProbe::Result::kAccepted) {
-    pool_.OnConnectSucceeded(now);
-  }
 }
 
 bool Forwarder::HasReplacement(const Exchange& exchange) {
