Keep contact while the own data centre's endpoints are reached

The verdict now needs a failed connect in each data centre, the own one first, and after a first success the next probe is due at once and near it.

The tests were written after the change and not run without it.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -89,6 +89,7 @@
       remote_traffic_(log, metrics),
       observed_(transport->Now(), kSweepInterval),
       probe_(transport),
+      contact_(data_centre_),
       peers_(data_centre_) {
   pool_.SetPlacement(
       {limits.placement, limits.remote_cost_ms_per_mb, data_centre_});
--- a/src/handover/endpoint_contact.cc
+++ b/src/handover/endpoint_contact.cc
@@ -14,13 +14,13 @@
 
 // Contact is lost when connects to this many endpoints, hosts and services, and
 // to endpoints of this many data centres, have failed, or to all if there are
-// fewer.
+// fewer. The own data centre must be among them.
 constexpr std::size_t kMinEndpoints = 3;
 // Those among them that were chosen for a probe: many may be down at once, and
 // requests find these.
 constexpr std::size_t kMinFailedProbes = 3;
 constexpr std::size_t kMinServices = 3;
-constexpr std::size_t kMinDataCentres = 2;
+constexpr std::size_t kMinDataCentres = 4;
 // Endpoints that must accept a connection before contact counts as regained.
 constexpr std::size_t kMinSuccesses = 2;
 // Failures further apart than this are not one event.
@@ -94,6 +94,7 @@
   }
   failures_.erase(endpoint);
   successes_[endpoint] = now;
+  next_probe_at_ = now;
   Evaluate(now);
 }
 
@@ -165,9 +166,11 @@
       failed_probes += failure->second.by_probe ? 1 : 0;
     }
   }
+  bool own_failed =
+      all.data_centres.count(own_) == 0 || failed.data_centres.count(own_) > 0;
   bool probed = failed_probes >= kMinFailedProbes ||
                 failed.endpoints.size() == targets_.size();
-  if (probed &&
+  if (own_failed && probed &&
       Spread::Covers(failed.endpoints, all.endpoints, kMinEndpoints) &&
       Spread::Covers(failed.hosts, all.hosts, kMinEndpoints) &&
       Spread::Covers(failed.services, all.services, kMinServices) &&
@@ -192,7 +195,17 @@
       new_host = new_host && other->host != target.host;
     }
   }
-  return (new_service ? 4 : 0) + (new_data_centre ? 2 : 0) + (new_host ? 1 : 0);
+  bool own = target.data_centre == own_;
+  // A second one near an endpoint that was reached is likely to be reached.
+  for (const auto& success : successes_) {
+    const ContactTarget* other = Find(success.first);
+    own = own || (other != nullptr && other->data_centre == target.data_centre);
+  }
+  if (stranded()) {
+    return (own ? 2 : 0) + (new_data_centre ? 1 : 0);
+  }
+  return (own && new_data_centre ? 8 : 0) + (new_service ? 4 : 0) +
+         (new_data_centre ? 2 : 0) + (new_host ? 1 : 0);
 }
 
 bool EndpointContact::NeedsProbes(std::optional<TimePoint> waiting_since,
--- a/src/handover/endpoint_contact.h
+++ b/src/handover/endpoint_contact.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/common/common.h"
@@ -28,6 +29,9 @@
 
 class EndpointContact {
  public:
+  explicit EndpointContact(DataCentreId own = DataCentreId())
+      : own_(std::move(own)) {}
+
   // All targets; none means that nothing is known, and never a loss of contact.
   void SetTargets(std::vector<ContactTarget> targets);
 
@@ -62,11 +66,13 @@
   const ContactTarget* Find(const EndpointId& endpoint) const;
   void Forget(TimePoint now);
   void Evaluate(TimePoint now);
-  // How much a probe of the target adds to the failures so far: other
-  // services, data centres and hosts first.
+  // How much a probe of the target adds to what is covered: the own data
+  // centre first, then other services, data centres and hosts.
   int GainOf(const ContactTarget& target,
              const std::set<EndpointId>& covered) const;
 
+  // Data centre of this instance; empty if unknown.
+  const DataCentreId own_;
   // Ordered by endpoint id.
   std::vector<ContactTarget> targets_;
   struct Failure {
--- a/tests/unit/gateway/handover_test.cc
+++ b/tests/unit/gateway/handover_test.cc
@@ -361,6 +361,26 @@
   CHECK(site.CountAt("i0", EventId::kEndpointContactLost) == 0);
 }
 
+TEST_CASE("the loss of other data centres causes no hand-over",
+          "[gateway][handover]") {
+  Site site;
+  for (const char* id : {"e2", "e3", "e4", "t1"}) {
+    site.endpoints.at(id).data_centre = "b";
+  }
+  site.Pass(seconds(4));
+  site.network.SetCut([&site](const SimNode* one, const SimNode* other) {
+    bool far = false;
+    for (const char* id : {"e2", "e3", "e4", "t1"}) {
+      far = far || other == site.endpoints.at(id).node;
+    }
+    return far && one == site.instances.at("i0").node;
+  });
+  site.Ask("i0", 3, "many");
+  site.Pass(seconds(2));
+  CHECK(site.Ask("i0", 10, "many") == 10);
+  CHECK(site.CountAt("i0", EventId::kEndpointContactLost) == 0);
+}
+
 TEST_CASE("endpoints that are silent for a second cause no hand-over",
           "[gateway][handover]") {
   Site site;
--- a/tests/unit/handover/endpoint_contact_test.cc
+++ b/tests/unit/handover/endpoint_contact_test.cc
@@ -94,6 +94,25 @@
   CHECK_FALSE(contact.stranded());
 }
 
+TEST_CASE("contact is kept while only other data centres are lost",
+          "[handover]") {
+  EndpointContact contact(DataCentreId("a"));
+  contact.SetTargets(Fleet());
+  contact.OnConnectFailed(EndpointId("b1"), kStart);
+  std::vector<EndpointId> due = contact.TakeDueProbes(std::nullopt, kStart);
+  REQUIRE(due.size() == 4);
+  CHECK((due.front() == EndpointId("a1") || due.front() == EndpointId("a2") ||
+         due.front() == EndpointId("t1")));
+  for (const EndpointId& endpoint : due) {
+    contact.OnProbeAbandoned(endpoint);
+  }
+  for (const char* id : {"b2", "t2"}) {
+    contact.OnConnectFailed(EndpointId(id), kStart);
+  }
+  contact.TakeDueProbes(std::nullopt, kStart);
+  CHECK_FALSE(contact.stranded());
+}
+
 TEST_CASE("a success ends the doubt", "[handover]") {
   Contact contact;
   contact.Fail("a1", milliseconds(0));
