Leave requests where they are when no other instance is live

Without a peer, a request that was moved for the loss of contact only went to another endpoint that is not reached.

--- a/src/gateway/forwarder_handover.cc
+++ b/src/gateway/forwarder_handover.cc
@@ -154,7 +154,9 @@
     log_->Write(
         EventId::kEndpointContactLost,
         fmt::format("{} instances={}", contact_.Describe(), peers_.size()));
-    MoveStrandedRequests();
+    if (peers_.size() > 0) {
+      MoveStrandedRequests();
+    }
   } else {
     log_->Write(
         EventId::kEndpointContactRegained,
