Mend what the review of hand-overs found

- What may run once was granted max_attempts - 1 runs at a peer: it ran twice if the route's kind had changed meanwhile.
It is granted one.
- An endpoint's answer that bears the hop's own fields passed as a peer's not-run.
They are removed from endpoints' answers.
- 100 requests in progress at a cut became 100 repeats against a budget of 31.
A hand-over after a send counts, and needs room; the peer does not count it once more.
- A peer that had sent nothing said unknown of a request with a run behind it, whose runs were then all written off: streams broke off among stranded peers.
- With half of the endpoints down, contact was lost 34 times in 60 s, and with one of two back it never returned.
Endpoints that accepted lately are probed first while in doubt, successes count until a failure, one endpoint may be enough, and all are probed in turn.
- The crash of an only endpoint was taken for a cut and never blamed.
- After one broken hop to the only peer, a second of refusals: a request that has tried none asks it.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -78,6 +78,9 @@
   CallerServer* server = nullptr;
   // The caller is another instance, which has handed the request over.
   bool handed_over = false;
+  // Sends and runs elsewhere before this instance got the request.
+  int sends_before = 0;
+  int runs_before = 0;
   HttpRequestHead head;
   // Shared with the attempts that send it.
   std::shared_ptr<const std::string> body;
--- a/src/gateway/forwarder_answers.cc
+++ b/src/gateway/forwarder_answers.cc
@@ -38,6 +38,8 @@
 
 HttpResponseHead HeadForCaller(HttpResponseHead head) {
   RemoveConnectionFields(&head.headers);
+  head.headers.Remove(kHandoverRunField);
+  head.headers.Remove(kHandoverRequestField);
   return head;
 }
 
--- a/src/gateway/forwarder_attempts.cc
+++ b/src/gateway/forwarder_attempts.cc
@@ -283,7 +283,8 @@
   exchange->attempt = std::move(attempt);
   // Counted at the start: until its connection fails, a repeat cannot be told
   // apart from one that reaches the endpoint.
-  if (exchange->sends > 0) {
+  // An instance that hands a request over has counted that as a repeat.
+  if (exchange->sends > exchange->sends_before) {
     repeats_.OnRepeat(exchange->service, now);
     exchange->attempt->is_repeat = true;
   }
--- a/src/gateway/forwarder_handover.cc
+++ b/src/gateway/forwarder_handover.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "src/gateway/forwarder.h"
@@ -26,6 +27,8 @@
 constexpr milliseconds kMaxSilenceStranded{300};
 // Maximum idle time of a reused connection to a peer.
 constexpr milliseconds kMaxIdleToPeer{5000};
+// With fewer hosts, endpoints that all fail have rather crashed.
+constexpr std::size_t kMinHostsToExcuse = 3;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
@@ -87,7 +90,13 @@
 
 CrashWatch::Contact Forwarder::ContactForCrashes() const {
   if (contact_.stranded()) {
-    return CrashWatch::Contact::kLost;
+    // The crash of an only endpoint is a loss of all contact as well.
+    std::set<std::string> hosts;
+    for (const auto& entry : view_.endpoints()) {
+      hosts.insert(HostOf(entry.second.address));
+    }
+    return hosts.size() < kMinHostsToExcuse ? CrashWatch::Contact::kGood
+                                            : CrashWatch::Contact::kLost;
   }
   return contact_.IsInDoubt(transport_->Now()) ? CrashWatch::Contact::kInDoubt
                                                : CrashWatch::Contact::kGood;
@@ -208,6 +217,10 @@
     return false;
   }
   exchange->waiting_since.reset();
+  if (exchange->sends > 0 && !HasRoomForRepeat(exchange->service)) {
+    GiveUp(exchange, 502, "stranded", "budget");
+    return true;
+  }
   std::optional<HandoverPeer> peer = peers_.Choose(
       exchange->request_hash, exchange->tried_peers, transport_->Now());
   if (peer.has_value()) {
@@ -259,7 +272,10 @@
   attempt.started_at = now;
   attempt.progress_at = now;
   // One run is left for another instance if this one is lost.
-  attempt.granted_runs = std::max(exchange->max_runs - exchange->runs - 1, 1);
+  attempt.granted_runs =
+      exchange->route->repeatable()
+          ? std::max(exchange->max_runs - exchange->runs - 1, 1)
+          : 1;
   exchange->tried_peers.push_back(peer.instance);
   HandoverRequest request = DescribeForPeer(*exchange, attempt.granted_runs);
   log_->Write(
@@ -287,7 +303,10 @@
   attempt.connection = client_.ConnectionOf(attempt.call);
   callers_by_call_[static_cast<std::uint64_t>(attempt.call)] = exchange->caller;
   exchange->attempt = std::move(attempt);
-  // The peer counts a repeat when it sends the request to an endpoint.
+  if (exchange->sends > 0) {
+    repeats_.OnRepeat(exchange->service, now);
+    exchange->attempt->is_repeat = true;
+  }
   ++exchange->sends;
 }
 
@@ -297,6 +316,9 @@
   bool may_have_run = execution == ExecutionState::kMayHaveRun;
   exchange->sends -= may_have_run ? 0 : 1;
   exchange->runs += may_have_run ? attempt.granted_runs : 0;
+  if (attempt.is_repeat && !may_have_run) {
+    repeats_.OnRepeatNotSent(exchange->service, attempt.started_at);
+  }
   if (result == AttemptResult::kAnswered) {
     peers_.OnAnswered(attempt.peer->instance);
   }
@@ -472,6 +494,8 @@
   exchange.handed_over = true;
   exchange.sends = request.sends;
   exchange.runs = request.runs;
+  exchange.sends_before = request.sends;
+  exchange.runs_before = request.runs;
   std::vector<Finding> findings;
   exchange.metadata = codec_.DecodeRequest(exchange.head, &findings);
   exchange.metadata.time_left = request.time_left;
@@ -513,7 +537,8 @@
   head->headers.Add(
       std::string(kHandoverRunField),
       EncodeHandoverRun(
-          run == RunState::kNotRun,
+          // As far as it depends on this instance.
+          run == RunState::kNotRun || exchange.runs == exchange.runs_before,
           in_doubt && head->status == kUnavailable ? "stranded" : code));
   head->headers.Add(std::string(kHandoverRequestField),
                     exchange.metadata.request_id);
--- a/src/handover/endpoint_contact.cc
+++ b/src/handover/endpoint_contact.cc
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace filbertshift {
@@ -23,6 +24,11 @@
 constexpr std::size_t kMinDataCentres = 4;
 // Endpoints that must accept a connection before contact counts as regained.
 constexpr std::size_t kMinSuccesses = 2;
+// Or so many by one of them, which may be the only one.
+constexpr int kMinRepeatedSuccesses = 3;
+// An endpoint that accepted a connection within this time is probed first: if
+// many endpoints are down, it probably is not, and at a cut it fails too.
+constexpr milliseconds kAcceptedRetention{10000};
 // Failures further apart than this are not one event.
 constexpr milliseconds kFailureWindow{1000};
 // A silence of all endpoints after which one of them is probed.
@@ -80,6 +86,7 @@
                                       TimePoint now) {
   bool by_probe = probing_since_.erase(endpoint) > 0;
   successes_.erase(endpoint);
+  accepted_at_.erase(endpoint);
   Failure& failure = failures_[endpoint];
   failure = {now, failure.by_probe || by_probe};
   Evaluate(now);
@@ -88,12 +95,13 @@
 void EndpointContact::OnConnected(const EndpointId& endpoint, TimePoint now) {
   probing_since_.erase(endpoint);
   latest_success_at_ = now;
+  accepted_at_[endpoint] = now;
   if (!stranded()) {
     failures_.clear();
     return;
   }
   failures_.erase(endpoint);
-  successes_[endpoint] = now;
+  ++successes_[endpoint];
   next_probe_at_ = now;
   Evaluate(now);
 }
@@ -127,9 +135,12 @@
     it = gone || now - it->second.at > kFailureWindow ? failures_.erase(it)
                                                       : std::next(it);
   }
-  for (auto it = successes_.begin(); it != successes_.end();) {
-    it = now - it->second > kFailureWindow ? successes_.erase(it)
-                                           : std::next(it);
+  for (auto it = accepted_at_.begin(); it != accepted_at_.end();) {
+    it = now - it->second > kAcceptedRetention ? accepted_at_.erase(it)
+                                               : std::next(it);
+  }
+  for (auto it = probed_at_.begin(); it != probed_at_.end();) {
+    it = Find(it->first) == nullptr ? probed_at_.erase(it) : std::next(it);
   }
   for (auto it = probing_since_.begin(); it != probing_since_.end();) {
     it = now - it->second > kProbeLostAfter ? probing_since_.erase(it)
@@ -143,7 +154,12 @@
     return;
   }
   if (stranded()) {
-    if (successes_.size() >= std::min(kMinSuccesses, targets_.size())) {
+    bool repeated = std::any_of(
+        successes_.begin(), successes_.end(), [](const auto& success) {
+          return success.second >= kMinRepeatedSuccesses;
+        });
+    if (repeated ||
+        successes_.size() >= std::min(kMinSuccesses, targets_.size())) {
       stranded_at_.reset();
       failures_.clear();
       successes_.clear();
@@ -243,9 +259,6 @@
       covered.insert(failure.first);
     }
   }
-  for (const auto& success : successes_) {
-    covered.insert(success.first);
-  }
   for (const auto& probe : probing_since_) {
     covered.insert(probe.first);
   }
@@ -257,13 +270,20 @@
   };
   while (due.size() < count) {
     const ContactTarget* best = nullptr;
-    std::pair<int, std::uint64_t> best_value;
+    // Without contact, one probe goes to where it is likely to return first,
+    // and the others take all endpoints in turn.
+    bool in_turn = stranded() && !due.empty();
+    std::tuple<int, int, TimePoint::duration, std::uint64_t> best_value;
     for (const ContactTarget& target : targets_) {
       if (covered.count(target.endpoint) > 0) {
         continue;
       }
-      std::pair<int, std::uint64_t> value{GainOf(target, covered),
-                                          rank(target)};
+      auto probed = probed_at_.find(target.endpoint);
+      auto age =
+          now - (probed == probed_at_.end() ? TimePoint() : probed->second);
+      std::tuple<int, int, TimePoint::duration, std::uint64_t> value{
+          !in_turn && accepted_at_.count(target.endpoint) > 0 ? 1 : 0,
+          in_turn ? 0 : GainOf(target, covered), age, rank(target)};
       if (best == nullptr || value > best_value) {
         best = &target;
         best_value = value;
@@ -274,6 +294,7 @@
     }
     covered.insert(best->endpoint);
     probing_since_[best->endpoint] = now;
+    probed_at_[best->endpoint] = now;
     due.push_back(best->endpoint);
   }
   return due;
--- a/src/handover/endpoint_contact.h
+++ b/src/handover/endpoint_contact.h
@@ -83,9 +83,14 @@
   // Latest failure of each endpoint. Invariant: while in contact, none is older
   // than the latest success.
   std::map<EndpointId, Failure> failures_;
-  // Endpoints that accepted a connection since contact was lost.
-  std::map<EndpointId, TimePoint> successes_;
+  // How often endpoints have accepted a connection since contact was lost,
+  // without a failure in between.
+  std::map<EndpointId, int> successes_;
+  // When endpoints last accepted a connection.
+  std::map<EndpointId, TimePoint> accepted_at_;
   std::map<EndpointId, TimePoint> probing_since_;
+  // Latest probe of each endpoint.
+  std::map<EndpointId, TimePoint> probed_at_;
   TimePoint latest_success_at_{};
   TimePoint latest_bytes_at_{};
   // While in doubt, and otherwise.
--- a/src/handover/handover_peers.cc
+++ b/src/handover/handover_peers.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace filbertshift {
@@ -31,11 +32,11 @@
 
 void HandoverPeers::SetPeers(std::vector<HandoverPeer> peers) {
   peers_ = std::move(peers);
-  for (auto it = avoided_until_.begin(); it != avoided_until_.end();) {
+  for (auto it = avoided_.begin(); it != avoided_.end();) {
     bool is_live = std::any_of(
         peers_.begin(), peers_.end(),
         [&it](const HandoverPeer& peer) { return peer.instance == it->first; });
-    it = is_live ? std::next(it) : avoided_until_.erase(it);
+    it = is_live ? std::next(it) : avoided_.erase(it);
   }
 }
 
@@ -44,16 +45,21 @@
     const std::vector<InstanceId>& tried,
     TimePoint now) const {
   const HandoverPeer* best = nullptr;
-  std::pair<bool, std::uint64_t> best_rank;
+  std::tuple<bool, bool, std::uint64_t> best_rank;
   for (const HandoverPeer& peer : peers_) {
-    auto avoided = avoided_until_.find(peer.instance);
-    if ((avoided != avoided_until_.end() && now < avoided->second) ||
+    auto found = avoided_.find(peer.instance);
+    bool avoided = found != avoided_.end() && now < found->second.until;
+    // One that was lost may be back, and is better than none.
+    bool excluded =
+        avoided &&
+        (found->second.trouble != PeerTrouble::kUnreachable || !tried.empty());
+    if (excluded ||
         std::find(tried.begin(), tried.end(), peer.instance) != tried.end()) {
       continue;
     }
     const std::string& name = peer.instance.value();
-    std::pair<bool, std::uint64_t> rank{
-        !own_.value().empty() && peer.data_centre == own_,
+    std::tuple<bool, bool, std::uint64_t> rank{
+        !avoided, !own_.value().empty() && peer.data_centre == own_,
         XXH64(name.data(), name.size(), request_hash)};
     if (best == nullptr || rank > best_rank) {
       best = &peer;
@@ -66,12 +72,15 @@
 void HandoverPeers::OnTrouble(const InstanceId& instance,
                               PeerTrouble trouble,
                               TimePoint now) {
-  TimePoint& until = avoided_until_[instance];
-  until = std::max(until, now + AvoidTime(trouble));
+  Avoided& avoided = avoided_[instance];
+  TimePoint until = now + AvoidTime(trouble);
+  if (until >= avoided.until) {
+    avoided = {until, trouble};
+  }
 }
 
 void HandoverPeers::OnAnswered(const InstanceId& instance) {
-  avoided_until_.erase(instance);
+  avoided_.erase(instance);
 }
 
 }  // namespace filbertshift
--- a/src/handover/handover_peers.h
+++ b/src/handover/handover_peers.h
@@ -40,8 +40,9 @@
 
   // All live instances without this one.
   void SetPeers(std::vector<HandoverPeer> peers);
-  // The peer to ask next: near ones first, spread by the hash of the request.
-  // Empty if each was tried or is avoided.
+  // The peer to ask next: near ones first, spread by the hash of the request. A
+  // peer that was lost is asked by a request that has tried none and finds no
+  // other. Empty if each was tried or is avoided.
   std::optional<HandoverPeer> Choose(std::uint64_t request_hash,
                                      const std::vector<InstanceId>& tried,
                                      TimePoint now) const;
@@ -55,7 +56,11 @@
  private:
   const DataCentreId own_;
   std::vector<HandoverPeer> peers_;
-  std::map<InstanceId, TimePoint> avoided_until_;
+  struct Avoided {
+    TimePoint until{};
+    PeerTrouble trouble = PeerTrouble::kUnreachable;
+  };
+  std::map<InstanceId, Avoided> avoided_;
 };
 
 }  // namespace filbertshift
--- a/tests/unit/gateway/handover_test.cc
+++ b/tests/unit/gateway/handover_test.cc
@@ -58,6 +58,9 @@
     response.headers.Add("Filbertshift-Attempt-Id",
                          *head.headers.Find("Filbertshift-Attempt-Id"));
     response.headers.Add("Filbertshift-Response-Seal", "seal-" + id_);
+    if (!handover_field.empty()) {
+      response.headers.Add(std::string(kHandoverRunField), handover_field);
+    }
     if (head.target.rfind("/stream/", 0) == 0) {
       const std::string* last = head.headers.Find("Last-Event-Id");
       server_.BeginStream(caller, response);
@@ -79,6 +82,8 @@
   std::vector<HttpRequestHead> heads;
   milliseconds delay{0};
   int status = 200;
+  // Value of a field that only instances write; empty if it is not sent.
+  std::string handover_field;
   // Callers that left before their response was complete.
   int left = 0;
 
@@ -125,7 +130,7 @@
     }
   }
 
-  void Configure(int version) {
+  void Configure(int version, const char* once_kind = "non_idempotent") {
     nlohmann::json document{
         {"version", version},
         {"services", {{{"name", "s"}}, {{"name", "t"}}}},
@@ -143,7 +148,7 @@
                                     {"max_attempts", 3}});
     };
     add("many", "idempotent", "s");
-    add("once", "non_idempotent", "s");
+    add("once", once_kind, "s");
     add("stream", "streaming", "s");
     add("other", "idempotent", "t");
     store.Put("op", "config", document.dump());
@@ -630,5 +635,151 @@
   }
 }
 
+TEST_CASE("a started stream goes past instances that are cut off as well",
+          "[gateway][handover]") {
+  Cut how = GENERATE(Cut::kSilent, Cut::kReset);
+  CAPTURE(static_cast<int>(how));
+  Site site(3);
+  site.StartInstance("far", "b");
+  site.Pass(seconds(10));
+  // The other instances know that they are cut off.
+  site.CutOffAndWait({"i1", "i2"}, how);
+  REQUIRE(site.Ask("i0", 10, "many") == 10);
+  Caller& caller = site.Send("i0", "stream");
+  site.Pass(milliseconds(500));
+  REQUIRE(caller.body.find("data: 2\n") != std::string::npos);
+  site.CutOff({"i0", "i1", "i2"}, how);
+  site.Await(caller);
+  CAPTURE(caller.body);
+  CHECK_FALSE(caller.failed);
+  CHECK(caller.body.find("data: 10\n") != std::string::npos);
+}
+
+TEST_CASE("a request in progress goes past instances that are cut off as well",
+          "[gateway][handover]") {
+  Site site(3);
+  site.StartInstance("far", "b");
+  site.Pass(seconds(10));
+  site.CutOffAndWait({"i1", "i2"}, Cut::kReset);
+  REQUIRE(site.Ask("i0", 10, "many") == 10);
+  site.SetDelay(milliseconds(400));
+  Caller& caller = site.Send("i0", "many");
+  site.Pass(milliseconds(100));
+  site.CutOff({"i0", "i1", "i2"}, Cut::kReset);
+  site.Await(caller);
+  CHECK(caller.head.status == 200);
+}
+
+TEST_CASE("one broken hop to the only other instance refuses no later request",
+          "[gateway][handover]") {
+  Site site(2);
+  site.CutOffAndWait({"i0"});
+  REQUIRE(site.Ask("i0", 5, "once") == 5);
+  site.SetDelay(milliseconds(300));
+  Caller& caller = site.Send("i0", "once");
+  site.Pass(milliseconds(100));
+  const SimNode* one = site.instances.at("i0").node;
+  const SimNode* two = site.instances.at("i1").node;
+  site.network.ResetBetween([one, two](const SimNode* a, const SimNode* b) {
+    return (a == one && b == two) || (a == two && b == one);
+  });
+  site.Await(caller);
+  CHECK(site.Ask("i0", 3, "once") == 3);
+}
+
+TEST_CASE("a request that may run once for its sender runs once",
+          "[gateway][handover]") {
+  Site site;
+  site.Pass(seconds(3));
+  site.CutOff({"i0"}, Cut::kSilent);
+  int runs = site.Runs();
+  for (const auto& entry : site.slow) {
+    entry.second->status = 500;
+  }
+  Caller& caller = site.Send("i0", "once");
+  site.Pass(milliseconds(40));
+  site.Configure(11, "idempotent");
+  site.Await(caller);
+  CAPTURE(caller.head.status);
+  CHECK(site.CountAt("i0", EventId::kRequestHandedOver) == 1);
+  CHECK(site.Runs() - runs == 1);
+}
+
+TEST_CASE("repeats that are handed over stay within the shared budget",
+          "[gateway][handover]") {
+  Site site;
+  int sent = site.requests;
+  site.SetDelay(milliseconds(1500));
+  constexpr int kRequests = 100;
+  std::size_t first = site.callers.size();
+  for (int i = 0; i < kRequests; ++i) {
+    site.Send("i0", "many");
+  }
+  sent += kRequests;
+  site.Pass(milliseconds(100));
+  int runs_before = site.Runs();
+  site.CutOff({"i0"}, Cut::kSilent);
+  site.Pass(seconds(5));
+  int repeats = site.Runs() - runs_before;
+  int refused = 0;
+  for (std::size_t i = first; i < site.callers.size(); ++i) {
+    refused += site.callers[i]->head.status == 200 ? 0 : 1;
+  }
+  GatewaySettings settings;
+  double bound = settings.repeat_ratio * sent + settings.repeat_allowance;
+  CAPTURE(repeats, bound, refused, runs_before,
+          site.CountAt("i0", EventId::kRequestHandedOver));
+  CHECK(repeats <= bound);
+}
+
+TEST_CASE("the crash of the only endpoint counts as a crash",
+          "[gateway][handover]") {
+  Site site;
+  for (const char* id : {"e1", "e2", "e3", "e4"}) {
+    site.endpoints.erase(id);
+    site.store.Remove("servers", id);
+  }
+  site.Pass(seconds(2));
+  REQUIRE(site.Ask("i0", 10, "other") == 10);
+  site.SetDelay(milliseconds(400));
+  site.Send("i0", "other", "Filbertshift-Prompt-Prefix: 7:10,8:10\r\n");
+  site.Pass(milliseconds(100));
+  // As a crash looks to all instances.
+  site.CutOff({"i0", "i1", "i2"}, Cut::kReset);
+  site.Pass(seconds(3));
+  CHECK(site.CountEvents(EventId::kEndpointCrashed) == 1);
+}
+
+TEST_CASE("an endpoint that returns alone serves requests",
+          "[gateway][handover]") {
+  Site site;
+  for (const char* id : {"e2", "e3", "e4"}) {
+    site.endpoints.erase(id);
+    site.store.Remove("servers", id);
+  }
+  site.Pass(seconds(2));
+  REQUIRE(site.Ask("i0", 10, "many") == 10);
+  site.CutOffAndWait({"i0", "i1", "i2"}, Cut::kReset);
+  const SimNode* t1 = site.endpoints.at("t1").node;
+  site.network.SetRefusal(
+      [t1](const SimNode*, const SimNode* other) { return other == t1; });
+  site.Pass(seconds(5));
+  CHECK(site.Ask("i0", 10, "many") == 10);
+}
+
+TEST_CASE("an endpoint cannot deny a run in the name of a peer",
+          "[gateway][handover]") {
+  Site site;
+  site.CutOffAndWait({"i0"});
+  for (const auto& entry : site.slow) {
+    entry.second->handover_field = EncodeHandoverRun(true, "stranded");
+  }
+  int runs = site.Runs();
+  Caller& caller = site.Send("i0", "once");
+  site.Await(caller);
+  CHECK(caller.head.status == 200);
+  CHECK(site.Runs() - runs == 1);
+}
+
 }  // namespace
 }  // namespace filbertshift
--- a/tests/unit/handover/endpoint_contact_test.cc
+++ b/tests/unit/handover/endpoint_contact_test.cc
@@ -196,5 +196,89 @@
   CHECK_FALSE(contact.IsInDoubt(kStart + milliseconds(1100)));
 }
 
+TEST_CASE("contact is regained when one of two endpoints returns",
+          "[handover]") {
+  Contact contact;
+  contact.SetTargets(
+      {Target("a1", "h1", "s", "a"), Target("a2", "h2", "s", "a")});
+  contact.Fail("a1", milliseconds(0));
+  contact.Fail("a2", milliseconds(0));
+  REQUIRE(contact.stranded());
+  for (milliseconds at{250}; at < milliseconds(10000); at += milliseconds(50)) {
+    for (const EndpointId& endpoint : contact.Due(at)) {
+      if (endpoint.value() == "a1") {
+        contact.Connect("a1", at);
+      } else {
+        contact.Fail("a2", at);
+      }
+    }
+  }
+  CHECK_FALSE(contact.stranded());
+}
+
+TEST_CASE("contact is regained soon when few of many endpoints return",
+          "[handover]") {
+  Contact contact;
+  std::vector<ContactTarget> targets;
+  for (int i = 0; i < 120; ++i) {
+    targets.push_back(Target("e" + std::to_string(i), "h" + std::to_string(i),
+                             "s", i % 2 == 0 ? "a" : "b"));
+  }
+  contact.SetTargets(targets);
+  for (const ContactTarget& target : targets) {
+    contact.Fail(target.endpoint.value(), milliseconds(0));
+  }
+  for (const EndpointId& endpoint : contact.Due(milliseconds(0))) {
+    contact.Fail(endpoint.value(), milliseconds(0));
+  }
+  REQUIRE(contact.stranded());
+  milliseconds at{250};
+  for (; contact.stranded() && at < milliseconds(60000);
+       at += milliseconds(50)) {
+    for (const EndpointId& endpoint : contact.Due(at)) {
+      if (endpoint.value() < "e102") {  // e0, e1, e10, e100, e101
+        contact.Connect(endpoint.value(), at);
+      } else {
+        contact.Fail(endpoint.value(), at);
+      }
+    }
+  }
+  CAPTURE(at.count());
+  CHECK(at < milliseconds(5000));
+}
+
+TEST_CASE("contact is kept while half of the endpoints are down",
+          "[handover]") {
+  Contact contact;
+  std::vector<ContactTarget> targets;
+  for (int i = 0; i < 40; ++i) {
+    targets.push_back(Target("e" + std::to_string(i), "h" + std::to_string(i),
+                             "s" + std::to_string(i % 3),
+                             i % 2 == 0 ? "a" : "b"));
+  }
+  contact.SetTargets(targets);
+  auto is_down = [](const EndpointId& endpoint) {
+    return std::stoi(endpoint.value().substr(1)) % 4 < 2;
+  };
+  int losses = 0;
+  bool was_stranded = false;
+  for (milliseconds at{0}; at < milliseconds(60000); at += milliseconds(50)) {
+    auto number = static_cast<std::size_t>(at.count() / 50 * 7 % 40);
+    if (!contact.stranded() && is_down(targets[number].endpoint)) {
+      contact.Fail(targets[number].endpoint.value(), at);
+    }
+    for (const EndpointId& endpoint : contact.Due(at)) {
+      if (is_down(endpoint)) {
+        contact.Fail(endpoint.value(), at);
+      } else {
+        contact.Connect(endpoint.value(), at);
+      }
+    }
+    losses += contact.stranded() && !was_stranded ? 1 : 0;
+    was_stranded = contact.stranded();
+  }
+  CHECK(losses == 0);
+}
+
 }  // namespace
 }  // namespace filbertshift
