--- a/tests/unit/fleet/rollout_evidence_test.cc
+++ b/tests/unit/fleet/rollout_evidence_test.cc
@@ -431,7 +431,7 @@
 // stable version, because the time for a verdict is over.
 TEST_CASE("a suspect version is not completed", "[fleet]") {
   RolloutInputs inputs;
-  inputs.order = {kService, kCandidate, std::chrono::seconds(24), 7};
+  inputs.order = {kService, kCandidate, std::chrono::seconds(24), {0, 7}};
   inputs.candidate_endpoints = 3;
   inputs.store_now = std::chrono::seconds(100);
   inputs.progress = NextRolloutProgress(inputs);
