--- a/tests/unit/handover/handover_message_test.cc
+++ b/tests/unit/handover/handover_message_test.cc
@@ -22,7 +22,7 @@
   request.max_runs = 3;
   request.configuration = 17;
   request.last_event_id = "5";
-  request.body = std::string("\0\r\nbody\n", 9);
+  request.body = std::string("\0\r\nbody\n\0", 9);
   return request;
 }
 
