--- a/tests/unit/gateway/store_return_test.cc
+++ b/tests/unit/gateway/store_return_test.cc
@@ -386,7 +386,7 @@
     peak = std::max(peak, site.store.reads() - before);
   }
   UNSCOPED_INFO("reads in 8 s: " << total << ", most in one second: " << peak);
-  CHECK(peak < 2000);
+  CHECK(peak < 1000);
   site.PutConfiguration(20, {"a", "b"}, {"k1"});
   site.Run(seconds(2));
   CHECK(site.GetFromAll("b", 1) == Statuses{{200, kMany}});
