--- a/tests/unit/gateway/store_return_test.cc
+++ b/tests/unit/gateway/store_return_test.cc
@@ -206,7 +206,7 @@
   site.Run(seconds(3));
   REQUIRE(site.GetFromAll("a", 1) == Statuses{{200, kInstances}});
   site.Return(copy);
-  site.Run(milliseconds(500));
+  site.Run(milliseconds(1000));
   CHECK(site.GetFromAll("a", 1) == Statuses{{200, kInstances}});
   site.store.Remove("op", "evacuate/a");
   site.Run(seconds(8));
