Let a keyed answer wait for copies of its unstored charge

A caller got the answer of a call with an idempotency key, its instance was killed right afterwards, and the charge was never stored.

While the table service refused the write, ExecutionLedger queued copies of it for the peers and handed the answer out in the same step. The answer and the copies then left by different threads; an instance that ended in between had answered and left no copy. Charges without a key have always waited for two confirmed copies (ChargeLedger).

A peer now acknowledges a copy, and the answer waits until two peers (or all reachable ones) have done so, until a later write succeeds, or for 1 s, as ChargeLedger does. Copies without an acknowledgement are sent again each 250 ms. The replica has one more field, the sequence; a peer of an earlier version ignores it and sends no acknowledgement, so its share of the wait is the whole second. An instance of an earlier version gets no acknowledgement, as it would close the stream at an unknown message.

Ruled out: the takeover. In the logs of a reproduction no peer held a copy: both saw the stream end, and none wrote the row or logged that it tried.

Measured, unit: "a keyed answer waits until two peers hold its unstored charge" and "a keyed answer waits one second for copies that are not confirmed" fail with the answer handed out at once (8 of 16 checks) and pass now.

--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -293,6 +293,9 @@
   } else if (auto* replica_of_call =
                  std::get_if<PeerExecutionReplica>(&received.message)) {
     executions_.OnPeerMessage(from, *replica_of_call);
+  } else if (auto* kept_call =
+                 std::get_if<PeerExecutionReplicaAck>(&received.message)) {
+    executions_.OnPeerMessage(from, *kept_call);
   } else if (auto* bound = std::get_if<PeerSessionBound>(&received.message)) {
     sessions_.OnPeerMessage(*bound);
   } else if (auto* stop =
--- a/src/ledger/execution_ledger.cc
+++ b/src/ledger/execution_ledger.cc
@@ -22,6 +22,12 @@
 constexpr std::size_t kMaxReplicas = 10000;
 // Longer than a reconnection after a brief loss of the stream.
 constexpr std::chrono::milliseconds kTakeoverDelay{5000};
+// Copies that peers must confirm before a caller gets an answer whose charge is
+// not stored, the longest wait for them, and the time between two copies to a
+// peer that has not confirmed one.
+constexpr std::size_t kReplicas = 2;
+constexpr std::chrono::milliseconds kReplicaTimeout{1000};
+constexpr std::chrono::milliseconds kReplicaResendInterval{250};
 
 constexpr char kSentState[] = "sent";
 constexpr char kDoneState[] = "done";
@@ -343,6 +349,7 @@
   for (std::uint64_t id : due) {
     SubmitPending(id);
   }
+  TickReplication(now);
   for (auto replica = replicas_.begin(); replica != replicas_.end();) {
     const std::optional<TimePoint>& at = replica->second.takeover_at;
     if (at.has_value() && *at <= now) {
@@ -354,8 +361,8 @@
   }
 }
 
-PeerExecutionReplica ExecutionLedger::MakeReplica(
-    const PendingWrite& write) const {
+PeerExecutionReplica ExecutionLedger::MakeReplica(std::uint64_t id) const {
+  const PendingWrite& write = pending_writes_.at(id);
   PeerExecutionReplica replica;
   replica.account = write.ticket.key.account;
   replica.idempotency_key = write.ticket.key.idempotency_key;
@@ -364,19 +371,84 @@
   replica.reserved = write.ticket.reserved;
   replica.expected_version = write.expected_version;
   replica.value = write.value;
+  replica.sequence = id;
   return replica;
 }
 
+void ExecutionLedger::Replicate(std::uint64_t id) {
+  PendingWrite& write = pending_writes_.at(id);
+  write.replicated_to_peers = true;
+  write.callback_deadline = clock_.Now() + kReplicaTimeout;
+  write.next_copy = clock_.Now() + kReplicaResendInterval;
+  peers_.Broadcast(MakeReplica(id));
+}
+
+void ExecutionLedger::TickReplication(TimePoint now) {
+  std::vector<std::uint64_t> timed_out;
+  for (auto& [id, write] : pending_writes_) {
+    if (!write.callback || !write.replicated_to_peers) {
+      continue;
+    }
+    if (write.callback_deadline <= now) {
+      timed_out.push_back(id);
+    } else if (write.next_copy <= now) {
+      write.next_copy = now + kReplicaResendInterval;
+      for (const InstanceId& peer : reachable_peers_) {
+        if (write.confirmed_by.count(peer) == 0) {
+          peers_.Send(peer, MakeReplica(id));
+        }
+      }
+    }
+  }
+  for (std::uint64_t id : timed_out) {
+    CallBackUnstored(id);
+  }
+}
+
+void ExecutionLedger::CallBackIfReplicated(std::uint64_t id) {
+  const PendingWrite& write = pending_writes_.at(id);
+  const std::size_t needed = std::min(kReplicas, reachable_peers_.size());
+  if (write.callback && needed > 0 && write.confirmed_by.size() >= needed) {
+    CallBackUnstored(id);
+  }
+}
+
+void ExecutionLedger::CallBackUnstored(std::uint64_t id) {
+  PendingWrite& write = pending_writes_.at(id);
+  const CompleteCallback callback = std::move(write.callback);
+  write.callback = nullptr;
+  callback(false);
+}
+
 void ExecutionLedger::OnPeerMessage(const InstanceId& from,
                                     const PeerExecutionReplica& message) {
   if (message.stored) {
     replicas_.erase(message.owner_token);
-  } else if (replicas_.size() < kMaxReplicas) {
+  } else if (replicas_.count(message.owner_token) > 0 ||
+             replicas_.size() < kMaxReplicas) {
     replicas_[message.owner_token] = {from, message, std::nullopt};
+    // Instances of earlier versions close the stream at an acknowledgement.
+    if (message.sequence != 0) {
+      peers_.Send(
+          from, PeerExecutionReplicaAck{message.owner_token, message.sequence});
+    }
   }
 }
 
+void ExecutionLedger::OnPeerMessage(const InstanceId& from,
+                                    const PeerExecutionReplicaAck& message) {
+  auto found = pending_writes_.find(message.sequence);
+  if (found == pending_writes_.end() ||
+      found->second.ticket.owner_token != message.owner_token ||
+      reachable_peers_.count(from) == 0) {
+    return;
+  }
+  found->second.confirmed_by.insert(from);
+  CallBackIfReplicated(message.sequence);
+}
+
 void ExecutionLedger::OnPeerUp(const InstanceId& peer) {
+  reachable_peers_.insert(peer);
   for (auto& [token, replica] : replicas_) {
     if (replica.owner == peer) {
       replica.takeover_at.reset();
@@ -385,6 +457,15 @@
 }
 
 void ExecutionLedger::OnPeerDown(const InstanceId& peer) {
+  reachable_peers_.erase(peer);
+  std::vector<std::uint64_t> ids;
+  for (auto& [id, write] : pending_writes_) {
+    write.confirmed_by.erase(peer);
+    ids.push_back(id);
+  }
+  for (std::uint64_t id : ids) {
+    CallBackIfReplicated(id);
+  }
   for (auto& [token, replica] : replicas_) {
     if (replica.owner == peer) {
       replica.takeover_at = clock_.Now() + kTakeoverDelay;
@@ -490,14 +571,8 @@
   write.in_flight = false;
   write.next_attempt = clock_.Now() + write.retry_delay;
   write.retry_delay = std::min(write.retry_delay * 2, kMaxRetryDelay);
-  if (write.callback) {
-    // The caller may receive its answer now, so the charge must survive the
-    // loss of this instance.
-    write.replicated_to_peers = true;
-    peers_.Broadcast(MakeReplica(write));
-    const CompleteCallback callback = std::move(write.callback);
-    write.callback = nullptr;
-    callback(false);
+  if (write.callback && !write.replicated_to_peers) {
+    Replicate(id);
   }
 }
 
--- a/src/ledger/execution_ledger.h
+++ b/src/ledger/execution_ledger.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "src/ledger/charge.h"
@@ -59,7 +60,8 @@
 class ExecutionLedger {
  public:
   using BeginCallback = std::function<void(const BeginResult&)>;
-  // `stored` is false if the result is not stored yet; the write is retried.
+  // `stored` is false if the result is not stored yet; the write is retried,
+  // and peers hold copies of it.
   using CompleteCallback = std::function<void(bool stored)>;
 
   // All references must outlive the ledger, and the ledger must outlive the
@@ -88,9 +90,11 @@
               BeginCallback callback);
 
   // Stores the answer and the charge in one transaction. Retries until the
-  // table service confirms it; the callback runs after the first attempt. A
-  // body that does not fit into a row is stored in the object store before the
-  // row is written.
+  // table service confirms it. Calls back when the first attempt has succeeded
+  // or, after it has failed, when two peers (or all reachable ones if there are
+  // fewer) have confirmed a copy, when a later attempt succeeds, or after the
+  // replica timeout of 1 s. A body that does not fit into a row is stored in
+  // the object store before the row is written.
   void Complete(const ExecutionTicket& ticket,
                 const StoredAnswer& answer,
                 const std::optional<Charge>& charge,
@@ -106,6 +110,8 @@
   // peers equivalent.
   void OnPeerMessage(const InstanceId& from,
                      const PeerExecutionReplica& message);
+  void OnPeerMessage(const InstanceId& from,
+                     const PeerExecutionReplicaAck& message);
   void OnPeerUp(const InstanceId& peer);
   void OnPeerDown(const InstanceId& peer);
 
@@ -141,6 +147,11 @@
     CompleteCallback callback;
     // True if a copy was sent to the peers.
     bool replicated_to_peers = false;
+    // Invariant: only reachable peers.
+    std::set<InstanceId> confirmed_by;
+    // The callback runs then even without confirmed copies.
+    TimePoint callback_deadline;
+    TimePoint next_copy;
     bool in_flight = false;
     TimePoint next_attempt;
     std::chrono::milliseconds retry_delay{0};
@@ -157,7 +168,13 @@
     std::optional<TimePoint> takeover_at;
   };
 
-  PeerExecutionReplica MakeReplica(const PendingWrite& write) const;
+  PeerExecutionReplica MakeReplica(std::uint64_t id) const;
+  // Sends copies to the peers, so that the charge survives the loss of this
+  // instance once the caller has its answer.
+  void Replicate(std::uint64_t id);
+  void TickReplication(TimePoint now);
+  void CallBackIfReplicated(std::uint64_t id);
+  void CallBackUnstored(std::uint64_t id);
   void TakeOver(const PeerExecutionReplica& message);
   void WriteReservation(std::uint64_t id);
   void OnReservationWritten(std::uint64_t id, const TableReply& reply);
@@ -178,8 +195,8 @@
   void OnPendingWritten(std::uint64_t id, const TableReply& reply);
   void ReadBack(std::uint64_t id);
   void OnReadBack(std::uint64_t id, const TableReply& reply);
-  // Schedules the next attempt and, if the callback is still outstanding, calls
-  // back with false.
+  // Schedules the next attempt; replicates the write if its callback is still
+  // outstanding.
   void RetryLater(std::uint64_t id);
   void FinishPending(std::uint64_t id, bool stored);
 
@@ -194,6 +211,7 @@
   std::map<std::uint64_t, PendingWrite> pending_writes_;
   // By owner token. Invariant: at most kMaxReplicas entries.
   std::map<std::string, Replica> replicas_;
+  std::set<InstanceId> reachable_peers_;
 };
 
 }  // namespace filbertshift
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -23,6 +23,7 @@
   kSessionBound = 8,
   kCandidateStopped = 9,
   kExecutionReplica = 10,
+  kExecutionReplicaAck = 11,
 };
 
 constexpr std::size_t kPrefixBytes = 4;
@@ -142,7 +143,7 @@
 }
 
 std::string Encode(const PeerExecutionReplica& message) {
-  return Encoder(FrameType::kExecutionReplica, 8)
+  return Encoder(FrameType::kExecutionReplica, 9)
       .Add(message.account)
       .Add(message.idempotency_key)
       .Add(message.owner_token)
@@ -151,6 +152,14 @@
       .Add(message.expected_version)
       .Add(message.value)
       .Add(message.stored)
+      .Add(message.sequence)
+      .ToString();
+}
+
+std::string Encode(const PeerExecutionReplicaAck& message) {
+  return Encoder(FrameType::kExecutionReplicaAck, 2)
+      .Add(message.owner_token)
+      .Add(message.sequence)
       .ToString();
 }
 
@@ -188,6 +197,11 @@
     }
     return *this;
   }
+  // Leaves the value unchanged if the sender's version lacks the field.
+  template <class T>
+  Decoder& ReadOptional(T* value) {
+    return next_index_ < items_.size ? Read(value) : *this;
+  }
 
  private:
   const msgpack::object& Next() {
@@ -284,7 +298,14 @@
       .Read(&message.reserved)
       .Read(&message.expected_version)
       .Read(&message.value)
-      .Read(&message.stored);
+      .Read(&message.stored)
+      .ReadOptional(&message.sequence);
+  return PeerMessage(std::move(message));
+}
+
+PeerFrame DecodeExecutionReplicaAck(Decoder fields) {
+  PeerExecutionReplicaAck message;
+  fields.Read(&message.owner_token).Read(&message.sequence);
   return PeerMessage(std::move(message));
 }
 
@@ -314,6 +335,8 @@
       return DecodeCandidateStopped(fields);
     case FrameType::kExecutionReplica:
       return DecodeExecutionReplica(fields);
+    case FrameType::kExecutionReplicaAck:
+      return DecodeExecutionReplicaAck(fields);
   }
   throw PeerCodecError("unknown message type " + std::to_string(type));
 }
--- a/src/ports/peer_port.h
+++ b/src/ports/peer_port.h
@@ -96,6 +96,14 @@
   std::string value;
   // The record is stored and the replica can be dropped; `value` is then empty.
   bool stored = false;
+  // Returned in the acknowledgement; 0 if the sender expects none.
+  std::uint64_t sequence = 0;
+};
+
+// Acknowledges that the receiver holds the replica of this owner token.
+struct PeerExecutionReplicaAck {
+  std::string owner_token;
+  std::uint64_t sequence = 0;
 };
 
 using PeerMessage = std::variant<PeerHeartbeat,
@@ -107,7 +115,8 @@
                                  PeerChargeStored,
                                  PeerSessionBound,
                                  PeerCandidateStopped,
-                                 PeerExecutionReplica>;
+                                 PeerExecutionReplica,
+                                 PeerExecutionReplicaAck>;
 
 struct PeerReceived {
   InstanceId from;
--- a/tests/unit/ledger/execution_ledger_test.cc
+++ b/tests/unit/ledger/execution_ledger_test.cc
@@ -267,6 +267,87 @@
   CHECK(runs_with_send > 300);
 }
 
+// A completion at i0 that the table service refuses, with i1 and i2 reachable.
+class UnstoredCompletion {
+ public:
+  explicit UnstoredCompletion(Cluster& cluster)
+      : cluster_(cluster), owner_(*cluster.instances[0]) {
+    owner_.peers.peers = {InstanceId("i1"), InstanceId("i2")};
+    for (const InstanceId& peer : owner_.peers.peers) {
+      owner_.ledger.OnPeerUp(peer);
+    }
+    const BeginResult begun = cluster.Begin(0);
+    REQUIRE(begun.status == BeginStatus::kOwned);
+    owner_.client.down = true;
+    Charge charge;
+    charge.id = "museum/invoice/7";
+    owner_.ledger.Complete(begun.ticket, {200, "application/json", "{}"},
+                           charge, [this](bool) { answered_ = true; });
+    cluster.schedule.RunAll();
+  }
+
+  // Delivers the copies that were sent to the peer, and its acknowledgements.
+  void Exchange(int peer) {
+    const InstanceId id("i" + std::to_string(peer));
+    Instance& instance = *cluster_.instances[peer];
+    for (const FakePeers::Sent& sent : owner_.peers.sent) {
+      if (sent.to == id) {
+        instance.ledger.OnPeerMessage(
+            InstanceId("i0"), std::get<PeerExecutionReplica>(sent.message));
+      }
+    }
+    for (const FakePeers::Sent& sent : instance.peers.sent) {
+      owner_.ledger.OnPeerMessage(
+          id, std::get<PeerExecutionReplicaAck>(sent.message));
+    }
+  }
+
+  bool answered() const { return answered_; }
+  Instance& owner() { return owner_; }
+
+ private:
+  Cluster& cluster_;
+  Instance& owner_;
+  bool answered_ = false;
+};
+
+// Guards against a charge that is lost with its instance because the caller
+// got its answer before any peer held a copy.
+TEST_CASE("a keyed answer waits until two peers hold its unstored charge",
+          "[ledger]") {
+  Cluster cluster(1);
+  UnstoredCompletion completion(cluster);
+  CHECK_FALSE(completion.answered());
+  completion.Exchange(1);
+  CHECK_FALSE(completion.answered());
+  SECTION("the second peer confirms") {
+    completion.Exchange(2);
+  }
+  SECTION("the second peer is lost") {
+    completion.owner().ledger.OnPeerDown(InstanceId("i2"));
+  }
+  SECTION("the table service returns") {
+    completion.owner().client.down = false;
+    cluster.TickAll(std::chrono::milliseconds(300));
+    cluster.schedule.RunAll();
+  }
+  CHECK(completion.answered());
+}
+
+// Guards against an answer that waits for peers that never confirm, and against
+// the loss of a copy that is not sent again.
+TEST_CASE("a keyed answer waits one second for copies that are not confirmed",
+          "[ledger]") {
+  Cluster cluster(1);
+  UnstoredCompletion completion(cluster);
+  cluster.TickAll(std::chrono::milliseconds(300));
+  CHECK(completion.owner().peers.sent.size() == 4);
+  cluster.TickAll(std::chrono::milliseconds(600));
+  CHECK_FALSE(completion.answered());
+  cluster.TickAll(std::chrono::milliseconds(200));
+  CHECK(completion.answered());
+}
+
 // Guards against a charge that is lost with its instance if the table service
 // was down when the answer was sent, and against two applied writes if the
 // owner was only disconnected and later writes the record itself.
--- a/tests/unit/peer/peer_codec_test.cc
+++ b/tests/unit/peer/peer_codec_test.cc
@@ -35,7 +35,8 @@
           PeerMessage(PeerCandidateStopped{ModelId("m"), VersionId("v"), 2,
                                            "12 of 20 answers bad"}),
           PeerMessage(PeerExecutionReplica{AccountId("a"), "k", "t", "h", true,
-                                           3, "{}", false}),
+                                           3, "{}", false, 4}),
+          PeerMessage(PeerExecutionReplicaAck{"t", 4}),
           PeerMessage(PeerSessionBound{AccountId("a"), SessionId("s"),
                                        ModelId("m"), VersionId("v")})};
 }
@@ -75,6 +76,23 @@
   CHECK(heartbeat.revisions.back() == ~std::uint64_t{0});
 }
 
+// Guards against a stream that is closed because its other end runs the version
+// before the acknowledgement.
+TEST_CASE("peer codec accepts a replica of an execution without sequence",
+          "[peer]") {
+  std::string bytes = Payload(PeerMessage(PeerExecutionReplica{
+      AccountId("a"), "k", "t", "h", true, 3, "{}", false, 4}));
+  // The array's head holds the number of fields, the last byte the sequence.
+  REQUIRE(bytes.front() == '\x9a');
+  bytes.front() = '\x99';
+  bytes.pop_back();
+  const PeerFrame decoded = DecodePeerFrame(bytes);
+  const auto& replica =
+      std::get<PeerExecutionReplica>(std::get<PeerMessage>(decoded));
+  CHECK(replica.value == "{}");
+  CHECK(replica.sequence == 0);
+}
+
 // Guards against truncated messages that are accepted or read past their end.
 TEST_CASE("peer codec rejects truncated messages", "[peer]") {
   for (const PeerFrame& frame : SampleFrames()) {
