Take over a completion although its owner's id is connected again

An answered call whose charge was not stored was not charged when its instance was killed and started again within 5 s while the table service was down: peers held a copy, but the new process connected under the same id, and they waited for it to write what it does not know.

A takeover, once due, stays due: the owner token makes writes by the owner and by peers equivalent, so a takeover beside a living owner is harmless.

Ruled out: telling processes apart by incarnation; it would need another field, and a connection lost for a moment needs no exception.

Measured: "peers store a completion whose owner has started again" found no charge 6 s after the restart and passes now; "peers store a completion whose owner is lost" still finds one write when the owner returns itself. Not run with real processes.

--- a/src/ledger/execution_ledger.cc
+++ b/src/ledger/execution_ledger.cc
@@ -449,11 +449,6 @@
 
 void ExecutionLedger::OnPeerUp(const InstanceId& peer) {
   reachable_peers_.insert(peer);
-  for (auto& [token, replica] : replicas_) {
-    if (replica.owner == peer) {
-      replica.takeover_at.reset();
-    }
-  }
 }
 
 void ExecutionLedger::OnPeerDown(const InstanceId& peer) {
@@ -466,8 +461,10 @@
   for (std::uint64_t id : ids) {
     CallBackIfReplicated(id);
   }
+  // The deadline stays when the peer reconnects: it may be a new process that
+  // does not have the write.
   for (auto& [token, replica] : replicas_) {
-    if (replica.owner == peer) {
+    if (replica.owner == peer && !replica.takeover_at.has_value()) {
       replica.takeover_at = clock_.Now() + kTakeoverDelay;
     }
   }
--- a/src/ledger/execution_ledger.h
+++ b/src/ledger/execution_ledger.h
@@ -105,9 +105,9 @@
   void Release(const ExecutionTicket& ticket);
 
   // Keeps copies of completions that other instances could not store yet. They
-  // are written here after the stream to their owner has been down for the
-  // takeover delay. The owner token makes writes by the owner and by several
-  // peers equivalent.
+  // are written here when the takeover delay has passed since the stream to
+  // their owner was lost. The owner token makes writes by the owner and by
+  // several peers equivalent.
   void OnPeerMessage(const InstanceId& from,
                      const PeerExecutionReplica& message);
   void OnPeerMessage(const InstanceId& from,
@@ -164,7 +164,7 @@
   struct Replica {
     InstanceId owner;
     PeerExecutionReplica message;
-    // Unset while the stream to the owner is up.
+    // Unset until the stream to the owner has been lost.
     std::optional<TimePoint> takeover_at;
   };
 
--- a/tests/unit/ledger/execution_ledger_test.cc
+++ b/tests/unit/ledger/execution_ledger_test.cc
@@ -348,6 +348,25 @@
   CHECK(completion.answered());
 }
 
+// Guards against a charge that is lost because its instance has started again
+// and no longer knows it.
+TEST_CASE("peers store a completion whose owner has started again",
+          "[ledger]") {
+  Cluster cluster(1);
+  UnstoredCompletion completion(cluster);
+  completion.Exchange(1);
+  ExecutionLedger& peer = cluster.instances[1]->ledger;
+  peer.OnPeerDown(InstanceId("i0"));
+  cluster.TickAll(std::chrono::milliseconds(500));
+  peer.OnPeerUp(InstanceId("i0"));
+  for (int i = 0; i < 12; ++i) {
+    cluster.TickAll(std::chrono::milliseconds(500));
+    cluster.schedule.RunAll();
+  }
+  CHECK(cluster.store.rows.begin()->second.value.find("museum/invoice/7") !=
+        std::string::npos);
+}
+
 // Guards against a charge that is lost with its instance if the table service
 // was down when the answer was sent, and against two applied writes if the
 // owner was only disconnected and later writes the record itself.
