Send copies of unstored completions to peers that connect

Copies of an unstored charge were sent once, to the peers of that moment. When these were restarted during the outage, and then the instance itself was lost, the charge of an answered call was lost with it.

A peer that connects gets copies of all completions that were replicated and are not stored yet.

Measured: "a peer that has started again gets a copy of unstored charges" saw no copy sent and passes now. Not run with real processes.

--- a/src/ledger/execution_ledger.cc
+++ b/src/ledger/execution_ledger.cc
@@ -449,6 +449,11 @@
 
 void ExecutionLedger::OnPeerUp(const InstanceId& peer) {
   reachable_peers_.insert(peer);
+  for (const auto& [id, write] : pending_writes_) {
+    if (write.replicated_to_peers) {
+      peers_.Send(peer, MakeReplica(id));
+    }
+  }
 }
 
 void ExecutionLedger::OnPeerDown(const InstanceId& peer) {
--- a/tests/unit/ledger/execution_ledger_test.cc
+++ b/tests/unit/ledger/execution_ledger_test.cc
@@ -348,6 +348,28 @@
   CHECK(completion.answered());
 }
 
+// Guards against a charge that is lost because the peers that held it had
+// started again before its instance was lost.
+TEST_CASE("a peer that has started again gets a copy of unstored charges",
+          "[ledger]") {
+  Cluster cluster(1);
+  UnstoredCompletion completion(cluster);
+  for (const InstanceId& peer : {InstanceId("i1"), InstanceId("i2")}) {
+    completion.owner().ledger.OnPeerDown(peer);
+  }
+  completion.owner().peers.sent.clear();
+  completion.owner().ledger.OnPeerUp(InstanceId("i2"));
+  REQUIRE(completion.owner().peers.sent.size() == 1);
+  completion.Exchange(2);
+  cluster.instances[2]->ledger.OnPeerDown(InstanceId("i0"));
+  for (int i = 0; i < 12; ++i) {
+    cluster.TickAll(std::chrono::milliseconds(500));
+    cluster.schedule.RunAll();
+  }
+  CHECK(cluster.store.rows.begin()->second.value.find("museum/invoice/7") !=
+        std::string::npos);
+}
+
 // Guards against a charge that is lost because its instance has started again
 // and no longer knows it.
 TEST_CASE("peers store a completion whose owner has started again",
