Probe more endpoints at once while contact with all is lost

Callers of an instance that had lost contact went on being served by its peers for longer than needed when only a few of many endpoints came back: two probes in 250 ms pass over 120 endpoints in 15 s, and found the first of five that accept connections after 5.65 s instead of 5.

A round now has as many probes as pass over all endpoints in 4 s, at least 2 and at most 16. Up to 32 endpoints nothing changes; a cut that ends for all endpoints at once is noticed by the first round as before.

Ruled out: the order of the probes. It is a seeded hash, so another order only moves the bad luck; the number of probes is what bounds the time.

The other 13 tests of EndpointContact pass, among them the bound of two probes a round with few endpoints.

--- a/src/handover/endpoint_contact.cc
+++ b/src/handover/endpoint_contact.cc
@@ -38,10 +38,22 @@
 constexpr milliseconds kDoubtProbeInterval{100};
 constexpr milliseconds kStrandedProbeInterval{250};
 constexpr std::size_t kDoubtProbes = 4;
-constexpr std::size_t kStrandedProbes = 2;
+// Without contact, all endpoints are probed within this time, as far as the
+// limits of a round of probes allow.
+constexpr milliseconds kStrandedSweepTime{4000};
+constexpr std::size_t kMinStrandedProbes = 2;
+constexpr std::size_t kMaxStrandedProbes = 16;
 // A probe without an outcome for this long is lost.
 constexpr milliseconds kProbeLostAfter{2000};
 
+// Probes of one round without contact.
+std::size_t StrandedProbes(std::size_t targets) {
+  auto rounds =
+      static_cast<std::size_t>(kStrandedSweepTime / kStrandedProbeInterval);
+  return std::clamp((targets + rounds - 1) / rounds, kMinStrandedProbes,
+                    kMaxStrandedProbes);
+}
+
 // Distinct values among targets.
 struct Spread {
   std::set<EndpointId> endpoints;
@@ -245,7 +257,7 @@
   }
   std::size_t count = 1;
   if (stranded()) {
-    count = kStrandedProbes;
+    count = StrandedProbes(targets_.size());
     next_probe_at_ = now + kStrandedProbeInterval;
   } else if (IsInDoubt(now)) {
     count = kDoubtProbes;
