Let a planned stop wait for answers to peers in delivery

An instance that was told to stop counted answers on closing connections before it exits, but not those on connections that stay open: an answer to a peer that had handed the request over could still be in the send queue when the process ended. The peer then saw a broken answer; it repeated what may be repeated and answered 502 for what may run once, though the whole answer existed. Only what exceeds the kernel's 64 KB is at risk, so large answers and peers that read slowly.

The stop now also waits until no response to a peer is unsent, within the time it has anyway: a peer that does not read delays it no longer than a caller that does not. Ruled out: closing these connections as those of callers are; peers use them for reads of the fleet view until the exit.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -445,6 +445,13 @@
   return transport_->UnsentBytes(id);
 }
 
+bool CallerServer::HasUnsentBytes() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [this](const auto& entry) {
+                       return UnsentBytes(ConnectionId{entry.first}) > 0;
+                     });
+}
+
 void CallerServer::FinishResponse(ConnectionId id, Connection* connection) {
   connection->in_request = false;
   connection->streaming = false;
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -79,6 +79,8 @@
   // Resets the connection, so that the caller sees the response as incomplete.
   void AbortResponse(ConnectionId caller, CallerCloseReason reason);
   std::size_t UnsentBytes(ConnectionId caller) const;
+  // Whether a response is still being sent on any connection.
+  bool HasUnsentBytes() const;
   std::size_t connection_count() const { return connections_.size(); }
 
   void OnAccepted(ConnectionId connection) override;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -378,7 +378,7 @@
   }
   bool idle = forwarder_.in_progress() == 0 &&
               !caller_server_.AwaitsFirstRequest() &&
-              transport_->ClosingCount() == 0;
+              !peer_server_.HasUnsentBytes() && transport_->ClosingCount() == 0;
   if (elapsed >= schedule.exit || (idle && elapsed >= schedule.earliest_exit)) {
     log_->Write(
         EventId::kGatewayStopped,
--- a/tests/unit/gateway/planned_stop_test.cc
+++ b/tests/unit/gateway/planned_stop_test.cc
@@ -79,6 +79,42 @@
   }
 }
 
+// Guards against an exit that cuts off a handed over answer on a connection
+// that stays open.
+TEST_CASE("a stop waits for answers to peers in delivery, within its time",
+          "[gateway]") {
+  GatewaySettings settings;
+  settings.instance = InstanceId("i1");
+  settings.store_address = "10.0.0.1:80";
+  settings.shutdown_s = 8;
+  FakeTransport transport;
+  NullEventLog log;
+  GatewayMetrics metrics;
+  HeaderCodec headers;
+  DocumentDecoder documents;
+  RowProtocol rows(settings.store_address);
+  Gateway gateway(settings, {headers, documents, rows}, &transport, &log,
+                  &metrics, 1);
+  gateway.Start();
+  ConnectionId peer = transport.Accept(gateway.peer_listener());
+  transport.SetSlow(peer);
+  transport.Receive(peer, "GET /none HTTP/1.1\r\nHost: i1\r\n\r\n");
+  REQUIRE(transport.UnsentBytes(peer) > 0);
+  bool stopped = false;
+  gateway.BeginShutdown([&stopped] { stopped = true; });
+  transport.Advance(milliseconds(5000));
+  CHECK_FALSE(stopped);
+  SECTION("they are delivered") {
+    transport.TakeSent(peer);
+    transport.Advance(milliseconds(200));
+    CHECK(stopped);
+  }
+  SECTION("they are not read") {
+    transport.Advance(milliseconds(2600));
+    CHECK(stopped);
+  }
+}
+
 bool Contains(const std::string& text, const std::string& part) {
   return text.find(part) != std::string::npos;
 }
