Don't report not_run while an attempt is in progress

Callers were told 504 not_run for a call that ran.

From its logs: the request was accepted at 48.201 s with 800 ms; its endpoint had room again in the moment of the deadline. At 49.00127 s the attempt was given to the endpoint thread, the deadline was handled, and at 49.00136 s AttemptSent arrived. In between RunStateOf relied on that message and said not_run; the call went on, as it must, and ran.

An attempt that was given to the endpoint thread now counts as possibly sent until it ends as not sent or is refused. This also keeps Fail() from releasing the key of such a call, after which a repeat could run it twice.

Ruled out: cancelling an attempt that seems unsent. The cancel may meet a call that was sent meanwhile, whose outcome would then never be recorded. Price: a call that waits for a connection until its deadline is reported as unknown; a repeat with its key gets the recorded outcome.

Measured: "a call in progress at its deadline is not reported as not run" failed ("not_run" instead of "unknown") and passes now, as do the other 19 tests of the core.

--- a/src/core/core_completion.cc
+++ b/src/core/core_completion.cc
@@ -204,9 +204,10 @@
 }
 
 RunState Core::RunStateOf(const Request& request) const {
-  bool sent = request.attempt.has_value() && request.attempt->sent &&
-              !request.attempt->refused;
-  return request.may_have_run || sent ? RunState::kUnknown : RunState::kNotRun;
+  // An attempt in progress may have been sent before its AttemptSent arrives.
+  bool may_be_sent = request.attempt.has_value() && !request.attempt->refused;
+  return request.may_have_run || may_be_sent ? RunState::kUnknown
+                                             : RunState::kNotRun;
 }
 
 void Core::Reply(const CallerRequest& call,
--- a/tests/unit/core/core_test.cc
+++ b/tests/unit/core/core_test.cc
@@ -161,6 +161,24 @@
   CHECK(fixture.ErrorField(caller, "run") == (believed ? "" : "unknown"));
 }
 
+// Guards against reporting `not_run` for a call whose attempt was given to the
+// endpoint thread just before the deadline and is sent.
+TEST_CASE("a call in progress at its deadline is not reported as not run",
+          "[core]") {
+  CoreFixture fixture;
+  CallerId caller = fixture.Post("/invoices", "k1", "{}");
+  AttemptSpec attempt = fixture.LastAttempt();
+  fixture.Advance(std::chrono::seconds(31));
+  CHECK(fixture.Record(caller).http_status == 504);
+  CHECK(fixture.ErrorField(caller, "run") == "unknown");
+  fixture.Sent(attempt);
+  fixture.Head(attempt, 201, {{"Content-Type", "application/json"}});
+  fixture.core.Handle(AttemptData{attempt.attempt, "{\"number\":7}"});
+  fixture.End(attempt, AttemptOutcome::kComplete);
+  CallerId again = fixture.Post("/invoices", "k1", "{}");
+  CHECK(fixture.Record(again).body == "{\"number\":7}");
+}
+
 // Guards against a second execution when the caller repeats a call because the
 // first answer did not reach it.
 TEST_CASE("a finished non-repeatable call is replayed", "[core]") {
