Record a call at its deadline although its caller has disconnected

A caller that lost its connection and repeated the call with its key got 409 unknown for ever if the answer came after the first call's deadline: with the caller still connected the call goes on and its outcome is recorded, without it the attempt was cancelled and the outcome dropped.

The deadline now detaches a call that may run once in both cases. Whether it was detached is a member of its own, no longer inferred from the missing caller, so that it ends when the time of the execution is over.

Found while reading for the cause of the early not_run. Measured: "a call whose caller has disconnected is recorded after its deadline" failed in two checks (attempt cancelled, no replay) and passes now.

--- a/src/core/core_recovery.cc
+++ b/src/core/core_recovery.cc
@@ -307,16 +307,17 @@
   }
   bool keeps_running = request.stage == RequestStage::kRunning ||
                        request.stage == RequestStage::kCompleting;
-  if (keeps_running && !request.repeatable) {
+  if (keeps_running && !request.repeatable && !request.detached) {
     // The call continues, so that its outcome is recorded for later requests
     // with the same key.
     if (request.caller.has_value()) {
       ReplyError(*request.caller, error);
       request_by_caller_.erase(*request.caller);
       request.caller.reset();
-      request.deadline = now + kDetachedExecutionTime;
-      return;
     }
+    request.detached = true;
+    request.deadline = now + kDetachedExecutionTime;
+    return;
   }
   if (request.attempt.has_value()) {
     AttemptId attempt = request.attempt->id;
--- a/src/core/request.h
+++ b/src/core/request.h
@@ -102,6 +102,8 @@
 
   TimePoint received;
   TimePoint deadline;
+  // The caller's deadline has passed, `deadline` is that of the execution.
+  bool detached = false;
   TimePoint next_poll;
   TimePoint last_keep_alive;
 
--- a/tests/unit/core/core_test.cc
+++ b/tests/unit/core/core_test.cc
@@ -179,6 +179,24 @@
   CHECK(fixture.Record(again).body == "{\"number\":7}");
 }
 
+// Guards against an answer that is dropped at the deadline because the caller's
+// connection had ended before.
+TEST_CASE("a call whose caller has disconnected is recorded after its deadline",
+          "[core]") {
+  CoreFixture fixture;
+  CallerId caller = fixture.Post("/invoices", "k1", "{}");
+  AttemptSpec attempt = fixture.LastAttempt();
+  fixture.Sent(attempt);
+  fixture.core.Handle(CallerDisconnected{caller});
+  fixture.Advance(std::chrono::seconds(31));
+  CHECK(fixture.endpoints.cancelled.empty());
+  fixture.Head(attempt, 201, {{"Content-Type", "application/json"}});
+  fixture.core.Handle(AttemptData{attempt.attempt, "{\"number\":7}"});
+  fixture.End(attempt, AttemptOutcome::kComplete);
+  CallerId again = fixture.Post("/invoices", "k1", "{}");
+  CHECK(fixture.Record(again).body == "{\"number\":7}");
+}
+
 // Guards against a second execution when the caller repeats a call because the
 // first answer did not reach it.
 TEST_CASE("a finished non-repeatable call is replayed", "[core]") {
