Don't start a queued request after its deadline

The queue hands out no request whose deadline has passed; it is ended as at the deadline: not_run if nothing was sent.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -249,6 +249,8 @@
   // Queued requests whose version or service is no longer allowed, collected
   // while the queue is drained.
   std::vector<RequestId> disallowed_requests_;
+  // Queued requests whose deadline has passed, collected likewise.
+  std::vector<RequestId> overdue_requests_;
   struct PendingRating {
     // The request that waits for the rating; empty if its answer was delivered
     // without waiting.
--- a/src/core/core_attempts.cc
+++ b/src/core/core_attempts.cc
@@ -46,6 +46,14 @@
       OnDisallowed(*request);
     }
   }
+  std::vector<RequestId> overdue = std::move(overdue_requests_);
+  overdue_requests_.clear();
+  for (const RequestId& id : overdue) {
+    Request* request = FindRequest(id);
+    if (request != nullptr) {
+      OnDeadline(*request, ports_.clock.Now());
+    }
+  }
 }
 
 // Handles a queued request whose version or service was withdrawn by a
@@ -113,6 +121,10 @@
     return true;
   }
   TimePoint now = ports_.clock.Now();
+  if (now >= request->deadline) {
+    overdue_requests_.push_back(request->id);
+    return true;
+  }
   CrashVerdict verdict = quarantine_.Check(request->fingerprint, now);
   EndpointQuery query = MakeEndpointQuery(*request, verdict);
   std::optional<EndpointChoice> choice = registry_.Choose(query, now);
--- a/tests/unit/core/core_test.cc
+++ b/tests/unit/core/core_test.cc
@@ -179,6 +179,27 @@
   CHECK(fixture.Record(again).body == "{\"number\":7}");
 }
 
+// Guards against a call that is sent for nobody when the process goes on after
+// a pause and the endpoint has room again.
+TEST_CASE("a call is not sent after its deadline", "[core]") {
+  CoreFixture fixture;
+  const std::chrono::milliseconds start =
+      fixture.endpoint_start_times[EndpointId("s0")];
+  fixture.endpoint_start_times[EndpointId("s0")] = std::chrono::milliseconds(0);
+  fixture.Advance(std::chrono::seconds(3));
+  std::size_t started = fixture.endpoints.started.size();
+  CallerId caller = fixture.Post("/invoices", "k1", "{}");
+  fixture.Advance(std::chrono::seconds(1));
+  REQUIRE(fixture.endpoints.started.size() == started);
+  fixture.endpoint_start_times[EndpointId("s0")] = start;
+  fixture.endpoints.probes.emplace_back("s0");
+  fixture.clock.now += std::chrono::seconds(31);
+  fixture.AnswerProbes();
+  CHECK(fixture.endpoints.started.size() == started);
+  CHECK(fixture.Record(caller).http_status == 504);
+  CHECK(fixture.ErrorField(caller, "run") == "not_run");
+}
+
 // Guards against an answer that is dropped at the deadline because the caller's
 // connection had ended before.
 TEST_CASE("a call whose caller has disconnected is recorded after its deadline",
