Deliver a complete answer whose charge is not stored at its deadline

Callers got 504 deadline_exceeded for an answer that was complete and charged, when their deadline passed while it waited, at most 1 s, for copies of its charge. A stream got an error after its last token, and Fail() added its charge a second time as that of a broken stream, which was stored twice if the first batch was closed by then.

OnDeadline treated a completing request like a running one. It now delivers the answer. Its charge stays with the ledger; only the loss of the instance within that second could still lose it, and a dropped answer would not prevent that.

--- a/src/core/core_recovery.cc
+++ b/src/core/core_recovery.cc
@@ -296,6 +296,11 @@
     Complete(request);
     return;
   }
+  if (request.stage == RequestStage::kCompleting) {
+    // The answer is complete and is charged, but its charge is not stored yet.
+    Deliver(request.id, BuildStoredAnswer(request));
+    return;
+  }
   CallerError error{504, "deadline_exceeded",
                     "the answer was not complete in time", RunStateOf(request),
                     std::chrono::seconds(0)};
@@ -305,9 +310,8 @@
              "another try with this idempotency key has not ended",
              RunState::kUnknown, std::chrono::seconds(1)};
   }
-  bool keeps_running = request.stage == RequestStage::kRunning ||
-                       request.stage == RequestStage::kCompleting;
-  if (keeps_running && !request.repeatable && !request.detached) {
+  if (request.stage == RequestStage::kRunning && !request.repeatable &&
+      !request.detached) {
     // The call continues, so that its outcome is recorded for later requests
     // with the same key.
     if (request.caller.has_value()) {
