Report a request that is blocked before it was sent as not run

A caller was told "run":"run" for a request of which no byte was sent: its connect failed, and a peer had reported meanwhile that the same request crashed two endpoints. Core::Retry said so whatever had happened; Accept has always said not_run for the same error. A call with a key was reported as run and its key released.

Retry now says run only if an attempt may have run. Found by the review.

--- a/src/core/core_recovery.cc
+++ b/src/core/core_recovery.cc
@@ -144,7 +144,8 @@
   if (quarantine_.Check(request.fingerprint, now) == CrashVerdict::kBlocked) {
     Fail(request, {422, "request_crashes_endpoints",
                    "this request crashed two endpoints and is blocked",
-                   RunState::kRun, std::chrono::seconds(0)});
+                   request.may_have_run ? RunState::kRun : RunState::kNotRun,
+                   std::chrono::seconds(0)});
     return;
   }
   // If the engine failed after the last token, nothing is left to generate, and
