Don't charge the run of a job whose lease was lost

A client account paid for a job and also for the tokens of a run of it that was given up when its lease was lost, for example in an outage of the table service. CancelJob takes the job off the request, and EndAttempt then took the request for one whose caller had hung up.

The request now remembers that its lease was lost; the run that finishes the job charges for it, in the job's row.

--- a/src/core/core_intake.cc
+++ b/src/core/core_intake.cc
@@ -221,6 +221,7 @@
   for (auto& [id, request] : requests_) {
     if (request.job == job) {
       request.job.reset();
+      request.lost_lease = true;
       request.abandoned = true;
       if (request.attempt.has_value()) {
         ports_.endpoints.Cancel(request.attempt->id);
--- a/src/core/core_recovery.cc
+++ b/src/core/core_recovery.cc
@@ -47,7 +47,7 @@
     request.may_have_run = true;
   }
   if (request.abandoned) {
-    if (request.answer.answer_tokens() > 0 && !request.job.has_value()) {
+    if (request.answer.answer_tokens() > 0 && !request.lost_lease) {
       charges_.Add(MakeCharge(request), [] {});
     }
     Finish(request, "caller_gone");
--- a/src/core/request.h
+++ b/src/core/request.h
@@ -113,6 +113,8 @@
   // The answer is no longer needed: the caller disconnected and cannot retrieve
   // it later, or the lease of the job was lost.
   bool abandoned = false;
+  // The run of a job whose lease was lost: another claim runs and charges it.
+  bool lost_lease = false;
   bool head_sent = false;
   int attempts = 0;
   std::optional<RunningAttempt> attempt;
--- /dev/null
+++ b/tests/unit/core/job_test.cc
@@ -0,0 +1,44 @@
+// Tests jobs: their charges, and their submission during a shutdown.
+
+#include <catch2/catch.hpp>
+
+#include "tests/unit/core/core_fixture.h"
+
+namespace filbertshift {
+namespace {
+
+// Guards against a charge for a run that is charged when the job is done by
+// another claim.
+TEST_CASE("a run whose lease was lost is not charged", "[core]") {
+  CoreFixture fixture;
+  CallerId caller = fixture.Chat("draft", false, {{"Prefer", "respond-async"}});
+  REQUIRE(fixture.Record(caller).http_status == 202);
+  fixture.Advance(std::chrono::seconds(5));
+  AttemptSpec first = fixture.LastAttempt();
+  fixture.Stream(first, {"one "});
+  fixture.client.down = true;
+  for (int i = 0; i < 30 && fixture.endpoints.cancelled.empty(); ++i) {
+    fixture.Advance(std::chrono::milliseconds(500));
+    fixture.Stream(first, {"two "});
+  }
+  REQUIRE(fixture.endpoints.cancelled.size() == 1);
+  REQUIRE(fixture.endpoints.cancelled.front() == first.attempt);
+  fixture.End(first, AttemptOutcome::kCancelled);
+  fixture.client.down = false;
+  for (int i = 0; i < 60 && fixture.endpoints.started.size() == 1; ++i) {
+    fixture.Advance(std::chrono::milliseconds(500));
+  }
+  AttemptSpec second = fixture.LastAttempt();
+  REQUIRE(second.attempt != first.attempt);
+  fixture.Stream(second, {"one ", "two"});
+  fixture.EndStream(second);
+  fixture.Advance(std::chrono::seconds(5));
+  // The charge of a job is part of its row.
+  auto row = fixture.store.rows.lower_bound("job/");
+  REQUIRE(row != fixture.store.rows.end());
+  CHECK(row->second.value.find("\"charge\"") != std::string::npos);
+  CHECK(fixture.store.Count("charges/") == 0);
+}
+
+}  // namespace
+}  // namespace filbertshift
