Run accepted jobs while the charge buffer is full

A caller that had been told 202 found its job failed for good with 503 billing_unavailable, because the charge buffer was full when an instance claimed the job: after an outage of the table service, or beside peers that handed over many copies. A job has its charge in its own row and takes no place in the buffer.

The check now concerns requests of callers only.

--- a/src/core/core_intake.cc
+++ b/src/core/core_intake.cc
@@ -92,7 +92,7 @@
     Fail(accepted, {422, "request_crashes_endpoints",
                     "this request crashed two endpoints and is blocked",
                     RunState::kNotRun, std::chrono::seconds(0)});
-  } else if (charges_.buffer_full()) {
+  } else if (charges_.buffer_full() && !accepted.job.has_value()) {
     Fail(accepted,
          {503, "billing_unavailable", "charges cannot be stored at present",
           RunState::kNotRun, kStoreRetryAfter});
--- a/tests/unit/core/job_test.cc
+++ b/tests/unit/core/job_test.cc
@@ -40,5 +40,25 @@
   CHECK(fixture.store.Count("charges/") == 0);
 }
 
+// Guards against an accepted job that fails for good because charges of other
+// requests wait: its own charge is part of its row.
+TEST_CASE("a job does not fail while the charge buffer is full", "[core]") {
+  CoreFixture fixture;
+  PeerChargeReplica replica;
+  replica.batch = "charges/entry-1-1/1";
+  for (int i = 0; i < 10000; ++i) {
+    Charge charge;
+    charge.id = std::to_string(i);
+    replica.charges.push_back(ChargeToJson(charge));
+  }
+  fixture.core.Handle(PeerReceived{InstanceId("entry-1"), std::move(replica)});
+  CallerId caller = fixture.Chat("draft", false, {{"Prefer", "respond-async"}});
+  REQUIRE(fixture.Record(caller).http_status == 202);
+  fixture.Advance(std::chrono::seconds(5));
+  auto row = fixture.store.rows.lower_bound("job/");
+  REQUIRE(row != fixture.store.rows.end());
+  CHECK(row->second.value.find("\"failed\"") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace filbertshift
