Let a shutdown wait for job submissions in progress

A caller that submitted a job while the table service was slow, to an instance that got SIGTERM, was never answered although its job was stored and ran, and the process never ended by itself: IsDrained() did not count the submission, the core thread ended, and Frontend::Join waited for the answer that only the core could give.

IsDrained() now counts submissions whose write is in progress. Queries of jobs and calls of operators are short and are not counted (by reading).

--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -156,6 +156,7 @@
 
 bool Core::IsDrained() const {
   return shutting_down_ && requests_.empty() && jobs_.running_jobs() == 0 &&
+         jobs_.submissions_in_progress() == 0 &&
          charges_.unstored_charges() == 0 &&
          executions_.unconfirmed_writes() == 0;
 }
--- a/src/ledger/job_ledger.h
+++ b/src/ledger/job_ledger.h
@@ -67,6 +67,10 @@
   // `claim_jobs` is true.
   void Tick(TimePoint now, bool claim_jobs);
   std::size_t running_jobs() const { return holder_.size(); }
+  // Submissions whose callers wait for the answer.
+  std::size_t submissions_in_progress() const {
+    return pending_accepts_.size();
+  }
 
  private:
   struct PendingAccept {
--- a/tests/unit/core/job_test.cc
+++ b/tests/unit/core/job_test.cc
@@ -40,6 +40,29 @@
   CHECK(fixture.store.Count("charges/") == 0);
 }
 
+// Guards against a caller that gets no answer although its job is stored and
+// runs.
+TEST_CASE("a shutdown waits for the answer to a job submission", "[core]") {
+  CoreFixture fixture;
+  CallerRequest request;
+  request.caller = CallerId{100};
+  request.received = fixture.clock.now;
+  request.method = "POST";
+  request.path = "/v1/chat/completions";
+  request.headers = {{"Authorization", "Bearer key"},
+                     {"Prefer", "respond-async"}};
+  request.body =
+      R"({"model":"small","messages":[{"role":"user","content":"draft"}]})";
+  fixture.core.Handle(std::move(request));
+  fixture.core.Handle(ShutdownRequested());
+  fixture.core.Tick();
+  REQUIRE_FALSE(fixture.Record(CallerId{100}).finished);
+  CHECK_FALSE(fixture.core.IsDrained());
+  fixture.Advance(std::chrono::seconds(1));
+  CHECK(fixture.Record(CallerId{100}).http_status == 202);
+  CHECK(fixture.core.IsDrained());
+}
+
 // Guards against an accepted job that fails for good because charges of other
 // requests wait: its own charge is part of its row.
 TEST_CASE("a job does not fail while the charge buffer is full", "[core]") {
