Answer requests that arrive until a stopped daemon no longer reads

An instance of filbertshiftd that got SIGTERM under load often did not end: requests that were in the ring of the core, or were read between its last look and StopAccepting, were never answered. The core thread had ended as soon as it was drained; Frontend::Join then waited for answers that nobody gave, without the bound of shutdown_timeout, and the callers with it.

The core now goes on until the frontend has closed its socket and written all responses; new requests meanwhile get 503 shutting_down. The timeout bounds this part, too. Frontend::Join had demanded this ("the core must keep serving"), and the daemon did not keep to it.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -118,7 +118,6 @@
 bool Daemon::Join() {
   core_thread_.join();
   if (drained_) {
-    frontend_.StopAccepting();
     frontend_.Join();
   }
   admin_.Stop();
@@ -131,6 +130,7 @@
   std::vector<CoreMessage> batch;
   TimePoint next_tick = clock_.Now();
   TimePoint shutdown_deadline = TimePoint::max();
+  bool stopped_accepting = false;
   for (;;) {
     ring_.Wait(kTickInterval);
     batch.clear();
@@ -153,7 +153,13 @@
       log_.Write(EventId::kDaemonReady, "");
     }
     ready_ = ready;
-    drained_ = core_.IsDrained();
+    // Requests that have arrived meanwhile are still answered: the frontend
+    // waits for these answers.
+    if (core_.IsDrained() && !stopped_accepting) {
+      stopped_accepting = true;
+      frontend_.StopAccepting();
+    }
+    drained_ = stopped_accepting && frontend_.HasEnded() && core_.IsDrained();
     if (drained_ || now >= shutdown_deadline) {
       return;
     }
--- a/src/frontend/frontend.cc
+++ b/src/frontend/frontend.cc
@@ -51,6 +51,10 @@
   loop_->RequestDrain();
 }
 
+bool Frontend::HasEnded() const {
+  return loop_->has_ended();
+}
+
 void Frontend::Join() {
   if (thread_.joinable()) {
     thread_.join();
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -68,6 +68,8 @@
   // Closes the listening socket. New requests on open connections get 503
   // `shutting_down`; responses in progress continue.
   void StopAccepting();
+  // Whether all responses in progress were complete after StopAccepting.
+  bool HasEnded() const;
   // Waits until all responses in progress are complete and the thread has
   // ended. StopAccepting must have been called, and the core must keep serving
   // the requests that it has.
--- a/src/frontend/frontend_loop.cc
+++ b/src/frontend/frontend_loop.cc
@@ -167,6 +167,7 @@
     FlushOutbox();
     CheckSlowSenders();
   }
+  ended_ = true;
 }
 
 void FrontendLoop::PollOnce() {
--- a/src/frontend/frontend_loop.h
+++ b/src/frontend/frontend_loop.h
@@ -60,6 +60,8 @@
   void RequestDrain();
   // Thread-safe.
   void RequestStop();
+  // Thread-safe.
+  bool has_ended() const { return ended_; }
   const std::string& bound_address() const { return bound_address_; }
 
   // Callbacks of libmicrohttpd.
@@ -118,6 +120,7 @@
   EventLog& log_;
   BoundedRing<FrontendCommand> commands_;
   std::atomic<bool> drain_requested_{false};
+  std::atomic<bool> ended_{false};
   std::atomic<bool> stop_requested_{false};
   std::mutex overflow_mutex_;
   // Callers for which a command was lost because the ring was full.
