Take over a copy that arrives after the loss of its owner

A charge and its answer were lost with their instance although a peer had confirmed the copy: messages arrive on connections that the sender opens, the loss is noticed on one that the receiver opens, and a copy that was read after the loss cleared the time of the takeover. No loss followed, so the copy was kept and never written.

A copy of an owner that is not reachable gets a takeover time, and one that is sent again leaves the time as it is. Found by the review. Measured: "peers store a completion that arrives after the loss of its owner" failed in both sections and passes now, as do the other tests of the ledgers.

--- a/src/ledger/execution_ledger.cc
+++ b/src/ledger/execution_ledger.cc
@@ -426,7 +426,14 @@
     replicas_.erase(message.owner_token);
   } else if (replicas_.count(message.owner_token) > 0 ||
              replicas_.size() < kMaxReplicas) {
-    replicas_[message.owner_token] = {from, message, std::nullopt};
+    Replica& replica = replicas_[message.owner_token];
+    replica.owner = from;
+    replica.message = message;
+    // The two directions are separate connections: a copy may arrive after the
+    // loss of its owner.
+    if (!replica.takeover_at.has_value() && reachable_peers_.count(from) == 0) {
+      replica.takeover_at = clock_.Now() + kTakeoverDelay;
+    }
     // Instances of earlier versions close the stream at an acknowledgement.
     if (message.sequence != 0) {
       peers_.Send(
--- a/tests/unit/ledger/execution_ledger_test.cc
+++ b/tests/unit/ledger/execution_ledger_test.cc
@@ -389,6 +389,27 @@
         std::string::npos);
 }
 
+// Guards against a charge that is lost because its last copy was read after the
+// loss of the stream to its owner: the two directions are separate connections.
+TEST_CASE("peers store a completion that arrives after the loss of its owner",
+          "[ledger]") {
+  bool copied_before = GENERATE(false, true);
+  INFO("copied before: " << copied_before);
+  Cluster cluster(1);
+  UnstoredCompletion completion(cluster);
+  if (copied_before) {
+    completion.Exchange(1);
+  }
+  cluster.instances[1]->ledger.OnPeerDown(InstanceId("i0"));
+  completion.Exchange(1);
+  for (int i = 0; i < 60; ++i) {
+    cluster.TickAll(std::chrono::milliseconds(500));
+    cluster.schedule.RunAll();
+  }
+  CHECK(cluster.store.rows.begin()->second.value.find("museum/invoice/7") !=
+        std::string::npos);
+}
+
 // Guards against a charge that is lost with its instance if the table service
 // was down when the answer was sent, and against two applied writes if the
 // owner was only disconnected and later writes the record itself.
