Take over a completion once in an outage

In a long outage of the table service each loss of a stream added a pending write for each copy at a peer: the owner sends its copies again when the stream is back, the peer kept them beside the write that it had taken over, and took them over once more. Memory grew, the returning service got a write for each, and a planned stop of the peer waited for all. Since a takeover stays due when the stream returns, a brief loss was enough.

A copy whose write was taken over is acknowledged and not kept again. Measured: "peers take over a completion once in an outage" found 5 pending writes instead of 1 and passes now, as do the other tests of the ledgers.

--- a/src/ledger/execution_ledger.cc
+++ b/src/ledger/execution_ledger.cc
@@ -424,8 +424,12 @@
                                     const PeerExecutionReplica& message) {
   if (message.stored) {
     replicas_.erase(message.owner_token);
-  } else if (replicas_.count(message.owner_token) > 0 ||
-             replicas_.size() < kMaxReplicas) {
+    return;
+  }
+  bool held = taken_over_.count(message.owner_token) > 0;
+  if (!held && (replicas_.count(message.owner_token) > 0 ||
+                replicas_.size() < kMaxReplicas)) {
+    held = true;
     Replica& replica = replicas_[message.owner_token];
     replica.owner = from;
     replica.message = message;
@@ -434,11 +438,11 @@
     if (!replica.takeover_at.has_value() && reachable_peers_.count(from) == 0) {
       replica.takeover_at = clock_.Now() + kTakeoverDelay;
     }
-    // Instances of earlier versions close the stream at an acknowledgement.
-    if (message.sequence != 0) {
-      peers_.Send(
-          from, PeerExecutionReplicaAck{message.owner_token, message.sequence});
-    }
+  }
+  // Instances of earlier versions close the stream at an acknowledgement.
+  if (held && message.sequence != 0) {
+    peers_.Send(from,
+                PeerExecutionReplicaAck{message.owner_token, message.sequence});
   }
 }
 
@@ -492,6 +496,7 @@
   write.ticket.row_version = message.expected_version;
   write.expected_version = message.expected_version;
   write.value = message.value;
+  taken_over_.insert(message.owner_token);
   SubmitPending(AddPending(std::move(write)));
 }
 
@@ -589,6 +594,7 @@
   auto found = pending_writes_.find(id);
   const PendingWrite write = std::move(found->second);
   pending_writes_.erase(found);
+  taken_over_.erase(write.ticket.owner_token);
   const EventContext context = MakeContext(write.ticket);
   const std::string key = RowKey(write.ticket.key);
   if (write.replicated_to_peers) {
--- a/src/ledger/execution_ledger.h
+++ b/src/ledger/execution_ledger.h
@@ -211,6 +211,8 @@
   std::map<std::uint64_t, PendingWrite> pending_writes_;
   // By owner token. Invariant: at most kMaxReplicas entries.
   std::map<std::string, Replica> replicas_;
+  // Owner tokens of writes in `pending_writes_` that were taken over.
+  std::set<std::string> taken_over_;
   std::set<InstanceId> reachable_peers_;
 };
 
--- a/tests/unit/ledger/execution_ledger_test.cc
+++ b/tests/unit/ledger/execution_ledger_test.cc
@@ -410,6 +410,25 @@
         std::string::npos);
 }
 
+// Guards against pending writes that grow with each loss of a stream during an
+// outage: the owner sends its copies again when the stream is back.
+TEST_CASE("peers take over a completion once in an outage", "[ledger]") {
+  Cluster cluster(1);
+  UnstoredCompletion completion(cluster);
+  Instance& peer = *cluster.instances[1];
+  peer.client.down = true;
+  for (int loss = 0; loss < 5; ++loss) {
+    peer.ledger.OnPeerUp(InstanceId("i0"));
+    completion.Exchange(1);
+    peer.ledger.OnPeerDown(InstanceId("i0"));
+    for (int i = 0; i < 12; ++i) {
+      cluster.TickAll(std::chrono::milliseconds(500));
+      cluster.schedule.RunAll();
+    }
+  }
+  CHECK(peer.ledger.unconfirmed_writes() == 1);
+}
+
 // Guards against a charge that is lost with its instance if the table service
 // was down when the answer was sent, and against two applied writes if the
 // owner was only disconnected and later writes the record itself.
