Let a planned stop write the completions of lost peers

A charge and its answer were lost although the caller had its 200: the only peer with a copy was told to stop within the 5 s between the loss of the owner and the takeover, and ended at once, because the stop waited for pending writes and not for copies whose takeover is due.

It now waits for both, within shutdown_timeout.

--- a/src/ledger/execution_ledger.cc
+++ b/src/ledger/execution_ledger.cc
@@ -361,6 +361,14 @@
   }
 }
 
+std::size_t ExecutionLedger::unconfirmed_writes() const {
+  auto due = std::count_if(replicas_.begin(), replicas_.end(),
+                           [](const auto& replica) {
+                             return replica.second.takeover_at.has_value();
+                           });
+  return pending_writes_.size() + static_cast<std::size_t>(due);
+}
+
 PeerExecutionReplica ExecutionLedger::MakeReplica(std::uint64_t id) const {
   const PendingWrite& write = pending_writes_.at(id);
   PeerExecutionReplica replica;
--- a/src/ledger/execution_ledger.h
+++ b/src/ledger/execution_ledger.h
@@ -118,9 +118,9 @@
   // Retries unconfirmed writes and takes over those of lost peers.
   void Tick(TimePoint now);
 
-  // Writes that the table service has not confirmed; a shutdown waits until
-  // there are none.
-  std::size_t unconfirmed_writes() const { return pending_writes_.size(); }
+  // Writes that the table service has not confirmed, with those of lost peers
+  // that are due; a shutdown waits until there are none.
+  std::size_t unconfirmed_writes() const;
 
  private:
   // A Begin or Lookup whose callback is outstanding.
