Send copies of a completion until peers have confirmed them

A charge could be lost with its instance long after the caller had its answer, although peers were connected all the time: copies that were not confirmed within 1 s, because a queue was full or a peer slow, were never sent again.

They are sent until two peers, or all reachable ones, have confirmed them, after 250 ms and then at intervals that double up to 8 s, so that a peer of an earlier version, which does not confirm, costs little. Found by the review. Measured: "copies are sent until peers confirm them" saw none after the first second and passes now, with all other tests of core and ledgers.

--- a/src/ledger/execution_ledger.cc
+++ b/src/ledger/execution_ledger.cc
@@ -23,11 +23,12 @@
 // Longer than a reconnection after a brief loss of the stream.
 constexpr std::chrono::milliseconds kTakeoverDelay{5000};
 // Copies that peers must confirm before a caller gets an answer whose charge is
-// not stored, the longest wait for them, and the time between two copies to a
-// peer that has not confirmed one.
+// not stored, the longest wait for them, and the first time between two copies
+// to a peer that has not confirmed one; it doubles with each.
 constexpr std::size_t kReplicas = 2;
 constexpr std::chrono::milliseconds kReplicaTimeout{1000};
 constexpr std::chrono::milliseconds kReplicaResendInterval{250};
+constexpr std::chrono::milliseconds kMaxReplicaResendInterval{8000};
 
 constexpr char kSentState[] = "sent";
 constexpr char kDoneState[] = "done";
@@ -387,20 +388,24 @@
   PendingWrite& write = pending_writes_.at(id);
   write.replicated_to_peers = true;
   write.callback_deadline = clock_.Now() + kReplicaTimeout;
-  write.next_copy = clock_.Now() + kReplicaResendInterval;
+  write.copy_interval = kReplicaResendInterval;
+  write.next_copy = clock_.Now() + write.copy_interval;
   peers_.Broadcast(MakeReplica(id));
 }
 
 void ExecutionLedger::TickReplication(TimePoint now) {
   std::vector<std::uint64_t> timed_out;
   for (auto& [id, write] : pending_writes_) {
-    if (!write.callback || !write.replicated_to_peers) {
+    if (!write.replicated_to_peers) {
       continue;
     }
-    if (write.callback_deadline <= now) {
+    if (write.callback && write.callback_deadline <= now) {
       timed_out.push_back(id);
-    } else if (write.next_copy <= now) {
-      write.next_copy = now + kReplicaResendInterval;
+    }
+    if (!IsReplicated(write) && write.next_copy <= now) {
+      write.copy_interval =
+          std::min(write.copy_interval * 2, kMaxReplicaResendInterval);
+      write.next_copy = now + write.copy_interval;
       for (const InstanceId& peer : reachable_peers_) {
         if (write.confirmed_by.count(peer) == 0) {
           peers_.Send(peer, MakeReplica(id));
@@ -413,10 +418,14 @@
   }
 }
 
+bool ExecutionLedger::IsReplicated(const PendingWrite& write) const {
+  const std::size_t needed = std::min(kReplicas, reachable_peers_.size());
+  return needed > 0 && write.confirmed_by.size() >= needed;
+}
+
 void ExecutionLedger::CallBackIfReplicated(std::uint64_t id) {
   const PendingWrite& write = pending_writes_.at(id);
-  const std::size_t needed = std::min(kReplicas, reachable_peers_.size());
-  if (write.callback && needed > 0 && write.confirmed_by.size() >= needed) {
+  if (write.callback && IsReplicated(write)) {
     CallBackUnstored(id);
   }
 }
--- a/src/ledger/execution_ledger.h
+++ b/src/ledger/execution_ledger.h
@@ -152,6 +152,7 @@
     // The callback runs then even without confirmed copies.
     TimePoint callback_deadline;
     TimePoint next_copy;
+    std::chrono::milliseconds copy_interval{0};
     bool in_flight = false;
     TimePoint next_attempt;
     std::chrono::milliseconds retry_delay{0};
@@ -173,6 +174,8 @@
   // instance once the caller has its answer.
   void Replicate(std::uint64_t id);
   void TickReplication(TimePoint now);
+  // Whether enough peers have confirmed a copy.
+  bool IsReplicated(const PendingWrite& write) const;
   void CallBackIfReplicated(std::uint64_t id);
   void CallBackUnstored(std::uint64_t id);
   void TakeOver(const PeerExecutionReplica& message);
--- a/tests/unit/ledger/execution_ledger_test.cc
+++ b/tests/unit/ledger/execution_ledger_test.cc
@@ -429,6 +429,21 @@
   CHECK(peer.ledger.unconfirmed_writes() == 1);
 }
 
+// Guards against a charge that only its instance holds for the rest of an
+// outage because the copies of the first second were lost.
+TEST_CASE("copies are sent until peers confirm them", "[ledger]") {
+  Cluster cluster(1);
+  UnstoredCompletion completion(cluster);
+  cluster.TickAll(std::chrono::milliseconds(1100));
+  REQUIRE(completion.answered());
+  completion.owner().peers.sent.clear();
+  for (int i = 0; i < 20; ++i) {
+    cluster.TickAll(std::chrono::milliseconds(500));
+    cluster.schedule.RunAll();
+  }
+  CHECK(completion.owner().peers.sent.size() >= 2);
+}
+
 // Guards against a charge that is lost with its instance if the table service
 // was down when the answer was sent, and against two applied writes if the
 // owner was only disconnected and later writes the record itself.
