Send copies of a charge until peers have confirmed them

A charge without a key could be lost with its instance long after the caller had its answer, although peers were connected all the time: copies not confirmed within the replica timeout of 1 s were never sent again, and their receivers counted as holders.

The charge stays pending after its callback until enough peers confirm or it is stored; copies are sent again at intervals that double from 250 ms to 8 s.

--- a/src/ledger/charge_ledger.cc
+++ b/src/ledger/charge_ledger.cc
@@ -18,7 +18,9 @@
 constexpr std::size_t kMaxConcurrentStores = 4;
 constexpr std::chrono::milliseconds kFirstRetryDelay{200};
 constexpr std::chrono::milliseconds kMaxRetryDelay{5000};
+// Doubles with each copy to a peer that has not confirmed one.
 constexpr std::chrono::milliseconds kReplicaResendInterval{250};
+constexpr std::chrono::milliseconds kMaxReplicaResendInterval{8000};
 // Multiple of the takeover delay after which a replica is taken over although
 // its owner is reachable: the message that the batch is stored may be lost.
 constexpr int kSilentOwnerTakeoverFactor = 6;
@@ -51,7 +53,8 @@
   pending.batch_key = key;
   pending.charge_json = ChargeToJson(charge);
   pending.deadline = clock_.Now() + options_.replica_timeout;
-  pending.next_send = clock_.Now() + kReplicaResendInterval;
+  pending.send_interval = kReplicaResendInterval;
+  pending.next_send = clock_.Now() + pending.send_interval;
   pending.callback = std::move(callback);
 
   Batch& batch = own_batches_.at(key);
@@ -164,6 +167,15 @@
   auto found = pending_adds_.find(sequence);
   const AddCallback callback = std::move(found->second.callback);
   pending_adds_.erase(found);
+  if (callback) {
+    callback();
+  }
+}
+
+void ChargeLedger::CallBackUnreplicated(std::uint64_t sequence) {
+  PendingAdd& pending = pending_adds_.at(sequence);
+  const AddCallback callback = std::move(pending.callback);
+  pending.callback = nullptr;
   callback();
 }
 
@@ -283,10 +295,13 @@
 void ChargeLedger::TickPendingAdds(TimePoint now) {
   std::vector<std::uint64_t> timed_out;
   for (auto& [sequence, pending] : pending_adds_) {
-    if (pending.deadline <= now) {
+    if (pending.callback && pending.deadline <= now) {
       timed_out.push_back(sequence);
-    } else if (pending.next_send <= now) {
-      pending.next_send = now + kReplicaResendInterval;
+    }
+    if (pending.next_send <= now) {
+      pending.send_interval =
+          std::min(pending.send_interval * 2, kMaxReplicaResendInterval);
+      pending.next_send = now + pending.send_interval;
       for (const InstanceId& replica_peer :
            own_batches_.at(pending.batch_key).replica_peers) {
         if (pending.confirmed_by.count(replica_peer) == 0) {
@@ -296,7 +311,7 @@
     }
   }
   for (std::uint64_t sequence : timed_out) {
-    CompleteAdd(sequence);
+    CallBackUnreplicated(sequence);
   }
 }
 
--- a/src/ledger/charge_ledger.h
+++ b/src/ledger/charge_ledger.h
@@ -90,13 +90,16 @@
   };
   using Batches = std::map<std::string, Batch>;
 
-  // A charge whose callback is outstanding.
+  // A charge that is not stored and of which not enough peers have confirmed a
+  // copy.
   struct PendingAdd {
     std::string batch_key;
     std::string charge_json;
     std::set<InstanceId> confirmed_by;
     TimePoint deadline;
     TimePoint next_send;
+    std::chrono::milliseconds send_interval{0};
+    // Empty once the replica timeout has expired.
     AddCallback callback;
   };
 
@@ -114,6 +117,7 @@
   void CompleteIfReplicated(std::uint64_t sequence);
   void CompleteReplicated();
   void CompleteAdd(std::uint64_t sequence);
+  void CallBackUnreplicated(std::uint64_t sequence);
   void TickPendingAdds(TimePoint now);
   void TickBatches(TimePoint now);
 
--- a/tests/unit/ledger/charge_ledger_test.cc
+++ b/tests/unit/ledger/charge_ledger_test.cc
@@ -253,6 +253,32 @@
   CHECK(completed);
 }
 
+// Guards against a charge that only its instance holds for the rest of an
+// outage because the copies of the first second were lost.
+TEST_CASE("copies of a charge are sent until peers confirm them", "[ledger]") {
+  FakeStore store;
+  FakeClock clock;
+  Instance owner(store, 0, clock);
+  owner.client.down = true;
+  owner.ledger.OnPeerUp(InstanceName(1));
+  owner.ledger.OnPeerUp(InstanceName(2));
+  Charge charge;
+  charge.id = "c1";
+  bool completed = false;
+  REQUIRE(owner.ledger.Add(charge, [&completed] { completed = true; }));
+  clock.now += std::chrono::milliseconds(1100);
+  owner.ledger.Tick(clock.now);
+  REQUIRE(completed);
+  owner.peers.sent.clear();
+  for (int i = 0; i < 20; ++i) {
+    clock.now += std::chrono::milliseconds(500);
+    owner.ledger.Tick(clock.now);
+    while (owner.client.DeliverOne()) {
+    }
+  }
+  CHECK(owner.peers.sent.size() >= 2);
+}
+
 // Guards against a second row for a batch whose owner was paused while its
 // peers took over the batch.
 TEST_CASE("a paused owner merges its delayed write", "[ledger]") {
