--- a/tests/unit/ledger/execution_ledger_test.cc
+++ b/tests/unit/ledger/execution_ledger_test.cc
@@ -444,6 +444,62 @@
   CHECK(completion.owner().peers.sent.size() >= 2);
 }
 
+// Guards against an answer that is lost because the peers store a record of it
+// that names an object that nobody has stored.
+TEST_CASE("peers store a large answer whose owner is lost", "[ledger]") {
+  const std::string body(100000, 'x');
+  Cluster cluster(1);
+  Instance& owner = *cluster.instances[0];
+  owner.peers.peers = {InstanceId("i1")};
+  const BeginResult begun = cluster.Begin(0);
+  REQUIRE(begun.status == BeginStatus::kOwned);
+  owner.client.objects_down = true;
+  owner.client.down = true;
+  cluster.Complete(0, begun.ticket, {200, "text/plain", body});
+  REQUIRE(owner.peers.sent.size() == 1);
+  ExecutionLedger& peer = cluster.instances[1]->ledger;
+  peer.OnPeerMessage(InstanceId("i0"), std::get<PeerExecutionReplica>(
+                                           owner.peers.sent.front().message));
+  peer.OnPeerDown(InstanceId("i0"));
+  for (int i = 0; i < 12; ++i) {
+    cluster.clock.now += std::chrono::milliseconds(500);
+    peer.Tick(cluster.clock.now);
+    cluster.schedule.RunAll();
+  }
+  const BeginResult replay = cluster.Begin(2);
+  CHECK(replay.status == BeginStatus::kReplay);
+  CHECK(replay.answer.body.size() == body.size());
+}
+
+// Guards against peers that hold copies of stored completions until their owner
+// is lost, and then take no others, because the message that they are stored
+// was lost.
+TEST_CASE("a peer takes copies again after messages were lost", "[ledger]") {
+  Cluster cluster(1);
+  Instance& peer = *cluster.instances[1];
+  peer.ledger.OnPeerUp(InstanceId("i0"));
+  PeerExecutionReplica copy;
+  copy.account = AccountId("museum");
+  copy.request_hash = "h1";
+  copy.value = "{}";
+  copy.sequence = 1;
+  for (int i = 0; i < 10000; ++i) {
+    copy.idempotency_key = std::to_string(i);
+    copy.owner_token = "token" + std::to_string(i);
+    peer.ledger.OnPeerMessage(InstanceId("i0"), copy);
+  }
+  REQUIRE(peer.peers.sent.size() == 10000);
+  for (int i = 0; i < 120; ++i) {
+    cluster.TickAll(std::chrono::milliseconds(500));
+    cluster.schedule.RunAll();
+  }
+  peer.peers.sent.clear();
+  copy.idempotency_key = "new";
+  copy.owner_token = "new";
+  peer.ledger.OnPeerMessage(InstanceId("i0"), copy);
+  CHECK(peer.peers.sent.size() == 1);
+}
+
 // Guards against a charge that is lost with its instance if the table service
 // was down when the answer was sent, and against two applied writes if the
 // owner was only disconnected and later writes the record itself.
