Keep an endpoint that left before an instance started away on a return

An instance sent to an endpoint that had left, from 240 to 1,920 ms after the store's return (10 requests, each to an endpoint that the platform may already have ended), until the removal was written again. It had started 160 ms after the endpoint's row was removed, 3.2 s before the return.

Cause: rows of the copy up to the largest known version are superseded, but an endpoint counted as departed only if its removal was among those that this instance had seen. One that started after the removal has never known the endpoint, and took the copied row for news, though its own first list, of a later version, already lacked it.

An endpoint that is not known and whose row is superseded is now held for departed as well: ignored, and not passed on to peers, until its row is written in the new era, at the latest 10 s after the return. Ruled out: that live endpoints are lost by this; one that registered between the return and the first list of the era waits for its next heartbeat, as one whose removal was known did before.

--- a/src/fleet/fleet_view.cc
+++ b/src/fleet/fleet_view.cc
@@ -265,6 +265,10 @@
     }
     return RowEffect::kUnusable;
   }
+  if (superseded && endpoints_.count(endpoint) == 0) {
+    // It had left, possibly before this instance first read the table.
+    departed_.insert(row.key);
+  }
   if (superseded && IsSuperseded(*record)) {
     lapsed_.erase(endpoint);
     return RowEffect::kUnchanged;
--- a/tests/unit/gateway/store_return_restart_test.cc
+++ b/tests/unit/gateway/store_return_restart_test.cc
@@ -234,6 +234,50 @@
   CheckNothingBroken(site);
 }
 
+TEST_CASE("an endpoint that left gets no requests over a return amid restarts",
+          "[gateway]") {
+  bool renamed = GENERATE(false, true);
+  bool drains = GENERATE(false, true);
+  milliseconds delay = GenerateDelay();
+  Site site;
+  bool left = false;
+  int checked = 0;
+  auto check = [&](const std::string& name) {
+    int runs = site.Runs("e1");
+    bool knows = left && site.Knows(name);
+    checked += knows ? 1 : 0;
+    int status = site.Get(name, "a");
+    if (status != 200) {
+      site.Note(fmt::format("{} for a", status), name);
+    }
+    if (knows && site.Runs("e1") > runs) {
+      site.Note("sent to an endpoint that left", name);
+    }
+  };
+  site.BeginRelease(renamed);
+  site.Serve(delay, check);
+  StandInStore::Copy copy = site.store.SaveCopy();
+  if (drains) {
+    site.endpoints.at("e1").state = "draining";
+    site.Register("e1");
+  } else {
+    site.Deregister("e1");
+  }
+  site.Serve(kApplyTime + seconds(1), check);
+  left = true;
+  site.Return(copy, check);
+  site.Serve(kRewriteTime, check);
+  if (!drains) {
+    site.Deregister("e1");
+  }
+  site.Serve(seconds(20), check);
+  INFO("renamed " << renamed << " drains " << drains << " delay "
+                  << delay.count());
+  CHECK(site.release_is_over());
+  CHECK(checked > 200);
+  CheckNothingBroken(site);
+}
+
 // A rollout of version v2, with endpoints of both versions.
 struct RolloutSite : Site {
   RolloutSite() {
