Keep a decision when its order is written again after all were killed

When all instances were killed about the store's return and the operator then wrote the order again, unchanged, a rollout that was "completed" or "reverted" went back to "in_progress" 1.6 to 3.2 s after the return, although the copy had its decision: the old endpoints are gone then, or the version is one that was found bad.

Cause: instances that were there before the return expect orders to be written again for 4 s. One that has started since does not know of the return; it wrote the decision anew under the version of the copied row of the order, and took the next row of it for a new order.

An instance now expects orders again for 4 s after its first list of the operator's table, too. Meanwhile it names the version of the earlier era that the progress row names, as the row of the order may change: else one that starts after the order is written would take the decision for that of another order. Ruled out: telling a return that is recent from one that is long past, which nothing in the store's answers does.

What is given up: an order with the same target and deadline as the one before it, given within 4 s of the start of all instances, is not carried out again.

--- a/src/fleet/fleet_view.cc
+++ b/src/fleet/fleet_view.cc
@@ -72,6 +72,10 @@
   }
   if (known.confirmed_at == TimePoint()) {
     known.removals_complete_after = snapshot.as_of.number;
+    if (snapshot.table == StoreTable::kOperator) {
+      // The store may have returned just before this instance started.
+      ExpectOrdersAgain(now);
+    }
   } else if (snapshot.as_of.era > known.as_of.era) {
     StartEra(snapshot, source, now);
     return true;
--- a/src/fleet/fleet_view.h
+++ b/src/fleet/fleet_view.h
@@ -184,6 +184,8 @@
   static void RecordRemoval(Table* table, const StoreRow& row);
   // Replaces the table by a snapshot of a later era.
   void StartEra(const TableSnapshot& snapshot, RowSource source, TimePoint now);
+  // The operator may write its orders again within some seconds.
+  void ExpectOrdersAgain(TimePoint now);
   void KeepLostEndpoints(const Table& known,
                          const TableSnapshot& snapshot,
                          TimePoint now);
--- a/src/fleet/fleet_view_era.cc
+++ b/src/fleet/fleet_view_era.cc
@@ -52,8 +52,7 @@
         rollouts_.ForgetOrders();
         operator_settles_at_ = now;
       } else {
-        rollouts_.ExpectOrdersAgain();
-        operator_settles_at_ = now + kOperatorRewriteTime;
+        ExpectOrdersAgain(now);
         evacuations_settle_at_ = now + kEvacuationHoldTime;
       }
       break;
@@ -92,6 +91,11 @@
   SettleRows(now);
 }
 
+void FleetView::ExpectOrdersAgain(TimePoint now) {
+  rollouts_.ExpectOrdersAgain();
+  operator_settles_at_ = now + kOperatorRewriteTime;
+}
+
 void FleetView::KeepLostEndpoints(const Table& known,
                                   const TableSnapshot& snapshot,
                                   TimePoint now) {
--- a/src/fleet/rollout_records.cc
+++ b/src/fleet/rollout_records.cc
@@ -160,13 +160,23 @@
 }
 
 StoreVersion RolloutRecords::VersionToWrite(const ServiceId& service) const {
-  // While orders are still being written again, their rows change.
   auto order = orders_.find(service);
   auto row = order_rows_.find(service);
   if (order == orders_.end() || row == order_rows_.end()) {
     return StoreVersion();
   }
-  return orders_expected_ ? order->second.order_version : row->second;
+  if (!orders_expected_) {
+    return row->second;
+  }
+  // While orders are still being written again, their rows change. A version of
+  // an earlier era stands for all of them.
+  auto progress = progress_rows_.find(service);
+  bool names_earlier_era =
+      progress != progress_rows_.end() &&
+      Belongs(progress->second, order->second) &&
+      progress->second.order_version.era < order->second.order_version.era;
+  return names_earlier_era ? progress->second.order_version
+                           : order->second.order_version;
 }
 
 }  // namespace filbertshift
--- a/tests/unit/fleet/rollout_records_test.cc
+++ b/tests/unit/fleet/rollout_records_test.cc
@@ -89,6 +89,36 @@
   CHECK_FALSE(f.Applies());
 }
 
+// Guards against a decision that names a row of the order which others never
+// see, because the operator has written the order again.
+TEST_CASE("instances that start before and after an order is written agree",
+          "[fleet]") {
+  Fixture before;
+  before.records.ExpectOrdersAgain();
+  before.records.SetOrder(OrderOf("v2"), {2, 50});
+  before.records.SetProgressRow(kService,
+                                ProgressOf({1, 50}, RolloutPhase::kInProgress));
+  REQUIRE(before.Applies());
+  RolloutProgress decided = *before.records.FindProgress(kService);
+  decided.state = RolloutPhase::kCompleted;
+  decided.order_version = before.records.VersionToWrite(kService);
+  before.records.SetProgressRow(kService, decided);
+  CHECK_FALSE(before.records.MustWriteAgain(kService));
+  Fixture after;
+  after.records.ExpectOrdersAgain();
+  after.records.SetOrder(OrderOf("v2"), {2, 60});
+  after.records.SetProgressRow(kService, decided);
+  before.records.SetOrder(OrderOf("v2"), {2, 60});
+  for (Fixture* f : {&before, &after}) {
+    CHECK(f->Applies());
+    CHECK(f->State() == RolloutPhase::kCompleted);
+    CHECK_FALSE(f->records.MustWriteAgain(kService));
+    f->records.Settle();
+    CHECK(f->records.MustWriteAgain(kService));
+    CHECK(f->records.VersionToWrite(kService) == StoreVersion{2, 60});
+  }
+}
+
 TEST_CASE("the progress of an earlier order does not come back", "[fleet]") {
   Fixture f;
   f.records.SetOrder(OrderOf("v2"), {1, 50});
--- a/tests/unit/gateway/store_return_restart_test.cc
+++ b/tests/unit/gateway/store_return_restart_test.cc
@@ -610,6 +610,7 @@
   Kill kill = GenerateKill();
   bool bad = GENERATE(false, true);
   bool order_lost = GENERATE(false, true);
+  bool rewritten = order_lost || GENERATE(false, true);
   RolloutSite site;
   site.SetFailing(bad);
   std::string right = bad ? "reverted" : "completed";
@@ -630,7 +631,7 @@
   ReturnAndKill(
       &site, copy, kill,
       [&] {
-        if (order_lost) {
+        if (rewritten) {
           site.Order();
         }
         if (!bad) {
@@ -638,7 +639,8 @@
         }
       },
       site.Request());
-  INFO(Describe(kill) << ", bad " << bad << ", order_lost " << order_lost);
+  INFO(Describe(kill) << ", bad " << bad << ", order_lost " << order_lost
+                      << ", rewritten " << rewritten);
   bool once = false;
   for (int i = 0; i < 34; ++i) {
     site.Serve(milliseconds(500), site.Request());
@@ -657,6 +659,42 @@
   }
 }
 
+// The copy has the order and the decision.
+TEST_CASE("a known decision stays after all were killed at a return",
+          "[gateway]") {
+  Kill kill = GenerateKill();
+  bool bad = GENERATE(false, true);
+  bool rewritten = GENERATE(false, true);
+  RolloutSite site;
+  site.SetFailing(bad);
+  std::string right = bad ? "reverted" : "completed";
+  site.Order();
+  site.ServeUntil(right, seconds(20));
+  if (!bad) {
+    site.RemoveOldEndpoints();
+  }
+  site.Serve(seconds(1), site.Request());
+  StandInStore::Copy copy = site.store.SaveCopy();
+  site.Serve(seconds(3), site.Request());
+  int runs = bad ? site.CandidateRuns() : site.Runs("e1") + site.Runs("e2");
+  ReturnAndKill(
+      &site, copy, kill,
+      [&] {
+        if (rewritten) {
+          site.Order();
+        }
+      },
+      site.Request());
+  INFO(Describe(kill) << ", bad " << bad << ", rewritten " << rewritten);
+  for (int i = 0; i < 20; ++i) {
+    site.Serve(milliseconds(500), site.Request());
+    INFO(site.At());
+    REQUIRE(site.RolloutStatus() == right);
+  }
+  CHECK((bad ? site.CandidateRuns() : site.Runs("e1") + site.Runs("e2")) ==
+        runs);
+}
+
 // Cuts an instance off from the store and the other instances.
 void CutOff(Site* site, const std::string& name) {
   const SimNode* missing = site->instances.at(name).node;
