--- a/src/ledger/execution_ledger.h
+++ b/src/ledger/execution_ledger.h
@@ -61,7 +61,7 @@
  public:
   using BeginCallback = std::function<void(const BeginResult&)>;
   // `stored` is false if the result is not stored yet; the write is retried,
-  // and peers hold copies of it.
+  // and copies of it were sent to the peers.
   using CompleteCallback = std::function<void(bool stored)>;
 
   // All references must outlive the ledger, and the ledger must outlive the
